--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -12,7 +12,7 @@
     match serve(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("bankdale-drill: {problem}");
+            eprintln!("curlewusher-drill: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/drill/src/settings.rs
+++ b/drill/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings object of the wire, turned into the library's settings.
 
-use bankdale::{Class, Effect, KeyScope, KindId, Micros, Settings, ZoneId};
+use curlewusher::{Class, Effect, KeyScope, KindId, Micros, Settings, ZoneId};
 use serde::Deserialize;
 
 #[derive(Deserialize)]
--- a/drill/tests/wire.rs
+++ b/drill/tests/wire.rs
@@ -9,7 +9,7 @@
 "rules":{"askWithinUs":10000000,"coldShare":0.2,"warmUpUs":1000000,"overloadFactor":3.0,"fallUs":1000000}}"#;
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_bankdale-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_curlewusher-drill"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,7 +8,7 @@
 //! the work already there weighted by the worker's utilisation. `docs/design.md` tells what was added and why.
 //!
 //! ```
-//! use bankdale::*;
+//! use curlewusher::*;
 //!
 //! let settings = Settings {
 //!     nodes: 1,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use bankdale::*;
 use common::*;
+use curlewusher::*;
 
 fn fleet(n: u64) -> Vec<Listing> {
     (0..n).map(listing).collect()
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,8 +5,8 @@
 
 use std::collections::BTreeMap;
 
-use bankdale::*;
 use common::*;
+use curlewusher::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
