Node on real sockets: dispatch task, sender side, next hops, transport map

Seen: the inherited tree had the decisions and a simulator adapter, and no node.

Built: settings/ reads the settings object once for adapter and node; node/ is the binary. One task owns the Dispatcher and is reached by a queue; the sender side is a tower service over hyper; next hops use hyper's connections directly, so that nothing is sent again unseen; the transport map follows discovery.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -2,7 +2,6 @@
 
 #![forbid(unsafe_code)]
 
-mod settings;
 mod wire;
 
 use std::io::{self, BufRead, Write};
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -9,7 +9,7 @@
     TenantId, WorkerId, ZoneId,
 };
 
-use crate::settings;
+use curlewusher_settings as settings;
 
 /// A job's name on the wire, kept while something may still be said of it.
 struct Named {
@@ -76,13 +76,6 @@
     }
 }
 
-/// FNV-1a: the same number for a worker at every node.
-fn worker_id(name: &str) -> WorkerId {
-    WorkerId(
-        name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)),
-    )
-}
-
 fn outcome(word: &str) -> Result<Outcome, String> {
     Ok(match word {
         "completed" => Outcome::Done,
@@ -106,7 +99,7 @@
         other => return Err(format!("field lifecycle is malformed: {other}")),
     };
     let entry = Listing {
-        worker: worker_id(name),
+        worker: WorkerId::of_name(name),
         zone: ZoneId(f.or("area", 0)?),
         kind: KindId(f.or("classOfHost", 0)?),
         cell: CellId(f.or("unitGroup", 0)?),
@@ -158,7 +151,7 @@
                 let number = self.current.ok_or("hello: no instance named")?;
                 let seed = f.need("prng")?;
                 let text = f.text("bootInfo").ok_or("field bootInfo is missing")?;
-                let settings = settings::read(text).map_err(|e| format!("field bootInfo: {e}"))?;
+                let settings = settings::read(text).map_err(|e| format!("field bootInfo: {e}"))?.decisions;
                 let dispatcher =
                     Dispatcher::new(settings, seed).map_err(|e| format!("field bootInfo: {e}"))?;
                 let mut instance = Instance::new(dispatcher);
--- /dev/null
+++ b/node/src/dispatch.rs
@@ -0,0 +1,487 @@
+//! Owns the `Dispatcher`, the ids of its jobs, its wake-ups and the time-outs of its delivery attempts, in one
+//! task; all else reaches it through its queue only. It must never touch a socket, know a protocol, or decide
+//! what to do with a job: it hands the module what happened and carries out what the module says.
+
+use std::cell::Cell;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use curlewusher::{
+    Action, ClassId, Dispatcher, Event, JobId, Life, Listing, Micros, Offer, Outcome, TenantId, WorkerId,
+};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::counters::{Counter, Counters};
+
+/// Room in the queue. Each open job holds one place for the news that its client has gone, and connections
+/// are far fewer than this.
+pub const QUEUE_ROOM: usize = 4096;
+
+/// Microseconds since the Unix epoch that never go back: read once from the system, then counted on.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix: unix.as_micros() as Micros }
+    }
+
+    pub fn now(&self) -> Micros {
+        self.unix + self.start.elapsed().as_micros() as Micros
+    }
+
+    fn instant(&self, at: Micros) -> tokio::time::Instant {
+        (self.start + Duration::from_micros(at.saturating_sub(self.unix))).into()
+    }
+}
+
+/// The final answer to a job.
+#[derive(Debug)]
+pub enum Answer {
+    /// A next hop's result.
+    Served(Bytes),
+    /// Not now: coming again does no harm, and is best done after this long.
+    Defer { after: Duration },
+    /// Given up; it may have run.
+    Failed,
+    /// A job of this id is in hand already.
+    Duplicate,
+}
+
+/// A job as a sender side hands it in.
+pub struct Taken<P> {
+    pub id: Rc<str>,
+    pub class: ClassId,
+    pub deadline: Micros,
+    pub hint: Option<f64>,
+    pub slots: f64,
+    pub repeat: bool,
+    /// What is to be delivered; the dispatch task never looks into it.
+    pub parcel: P,
+    pub ticket: Ticket,
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// Stands for a job between its sender side and the dispatch task, which writes the job's number on it.
+#[derive(Clone, Default)]
+pub struct Ticket(Rc<Cell<Option<JobId>>>);
+
+/// Which delivery attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AttemptKey {
+    job: JobId,
+    attempt: u32,
+}
+
+/// A delivery attempt to be made. It is given up when `give_up` says so; once the sending half of that is
+/// dropped, the attempt is over and only its connection is left to care for.
+pub struct DeliveryAttempt<P> {
+    pub key: AttemptKey,
+    pub id: Rc<str>,
+    pub to: SocketAddr,
+    pub parcel: Rc<P>,
+    pub wait: Duration,
+    pub give_up: oneshot::Receiver<()>,
+}
+
+/// Whatever carries jobs to next hops. It reports through the queue: `Accepted`, then nothing or `GivenUp`;
+/// or `Ended`.
+pub trait Carrier {
+    type Parcel;
+    fn deliver(&self, attempt: DeliveryAttempt<Self::Parcel>);
+    /// That next hop takes nothing more.
+    fn forget(&self, to: SocketAddr);
+}
+
+/// What a next hop tells of a job.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Word {
+    Started,
+    Running(f64),
+    Done(Bytes),
+    Failed,
+    Returned,
+    Lost,
+}
+
+/// A line of the transport map.
+pub struct NextHop {
+    pub name: Rc<str>,
+    pub address: SocketAddr,
+    pub listing: Listing,
+}
+
+/// What reaches the dispatch task.
+pub enum Notice<P> {
+    Taken(Taken<P>),
+    ClientGone(Ticket),
+    /// A call-back: the job's id, the next hop's name, and what it says.
+    Told {
+        id: String,
+        from: String,
+        word: Word,
+    },
+    Accepted(AttemptKey),
+    Ended(AttemptKey, Outcome),
+    GivenUp(AttemptKey),
+    Listed {
+        hops: Vec<NextHop>,
+        whole: bool,
+    },
+    ListFailed,
+}
+
+pub type Queue<P> = mpsc::Sender<Notice<P>>;
+
+/// Where an attempt stands.
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    Out,
+    GivingUp(Outcome),
+    Over,
+}
+
+struct Attempt {
+    from: Rc<str>,
+    stage: Stage,
+    /// The next hop has taken it on.
+    accepted: bool,
+    /// Largest share told.
+    share: f64,
+    /// The word that ended it.
+    last: Option<Word>,
+    give_up: Option<oneshot::Sender<()>>,
+    times_out: Micros,
+}
+
+struct Held<P> {
+    id: Rc<str>,
+    parcel: Rc<P>,
+    answer: Option<oneshot::Sender<Answer>>,
+    attempts: Vec<Attempt>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Wake,
+    TimeOut(AttemptKey),
+}
+
+/// The task.
+pub struct Dispatch<C: Carrier> {
+    dispatcher: Dispatcher,
+    clock: Clock,
+    carrier: C,
+    queue: mpsc::Receiver<Notice<C::Parcel>>,
+    /// Asks for a watch on the transport map.
+    watch: mpsc::Sender<()>,
+    counters: Counters,
+    next_job: u64,
+    held: HashMap<JobId, Held<C::Parcel>>,
+    ids: HashMap<Rc<str>, JobId>,
+    hops: HashMap<WorkerId, (Rc<str>, SocketAddr)>,
+    due: BTreeSet<(Micros, Due)>,
+    actions: Vec<Action>,
+}
+
+impl<C: Carrier> Dispatch<C> {
+    pub fn new(
+        dispatcher: Dispatcher,
+        clock: Clock,
+        carrier: C,
+        queue: mpsc::Receiver<Notice<C::Parcel>>,
+        watch: mpsc::Sender<()>,
+        counters: Counters,
+    ) -> Self {
+        Dispatch {
+            dispatcher,
+            clock,
+            carrier,
+            queue,
+            watch,
+            counters,
+            next_job: 0,
+            held: HashMap::new(),
+            ids: HashMap::new(),
+            hops: HashMap::new(),
+            due: BTreeSet::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Serves until nothing can reach it any more.
+    pub async fn run(mut self, known: Vec<NextHop>) {
+        // The saved list comes in the moment of the first wake-up: by that the module knows it for no answer.
+        let now = self.clock.now();
+        self.dispatcher.handle(now, Event::Woken, &mut self.actions);
+        self.listed(now, known, true);
+        loop {
+            let next = self.due.first().map(|(at, _)| self.clock.instant(*at));
+            let sleep = async {
+                match next {
+                    Some(at) => tokio::time::sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                notice = self.queue.recv() => match notice {
+                    Some(notice) => self.hear(notice),
+                    None => return,
+                },
+                () = sleep => {}
+            }
+            self.come_due();
+        }
+    }
+
+    fn come_due(&mut self) {
+        let now = self.clock.now();
+        while let Some(&(at, due)) = self.due.first().filter(|(at, _)| *at <= now) {
+            self.due.remove(&(at, due));
+            match due {
+                Due::Wake => self.tell(Event::Woken),
+                Due::TimeOut(key) => self.give_up(key, Outcome::TimedOut),
+            }
+        }
+    }
+
+    fn hear(&mut self, notice: Notice<C::Parcel>) {
+        match notice {
+            Notice::Taken(taken) => self.take(taken),
+            Notice::ClientGone(ticket) => {
+                let Some(job) = ticket.0.get() else { return };
+                if let Some(held) = self.held.get_mut(&job)
+                    && held.answer.take().is_some()
+                {
+                    self.counters.add(Counter::ClientsGone);
+                    self.tell(Event::ClientGone { job });
+                    self.forget(job);
+                }
+            }
+            Notice::Told { id, from, word } => self.told(&id, &from, word),
+            Notice::Accepted(key) => {
+                if let Some(attempt) = self.attempt(key) {
+                    attempt.accepted = true;
+                    self.counters.add(Counter::Accepted);
+                }
+            }
+            Notice::Ended(key, outcome) => self.ended(key, outcome),
+            Notice::GivenUp(key) => {
+                let stage = self.attempt(key).map(|a| a.stage);
+                if let Some(Stage::GivingUp(outcome)) = stage {
+                    self.ended(key, outcome);
+                }
+            }
+            Notice::Listed { hops, whole } => self.listed(self.clock.now(), hops, whole),
+            Notice::ListFailed => self.tell(Event::ListFailed),
+        }
+    }
+
+    fn take(&mut self, taken: Taken<C::Parcel>) {
+        if self.ids.contains_key(&taken.id) {
+            // Two jobs of one id could not be told apart in a call-back.
+            let _ = taken.answer.send(Answer::Duplicate);
+            return;
+        }
+        self.counters.add(Counter::Taken);
+        let job = JobId(self.next_job);
+        self.next_job += 1;
+        taken.ticket.0.set(Some(job));
+        self.ids.insert(taken.id.clone(), job);
+        let (parcel, answer) = (Rc::new(taken.parcel), Some(taken.answer));
+        self.held.insert(job, Held { id: taken.id, parcel, answer, attempts: Vec::new() });
+        self.tell(Event::Offered(Offer {
+            job,
+            class: taken.class,
+            tenant: TenantId(0),
+            deadline: taken.deadline,
+            hint: taken.hint,
+            slots: taken.slots,
+            repeat: taken.repeat,
+        }));
+    }
+
+    /// A call-back counts for the live attempt of that job at that next hop, and for nothing else.
+    fn told(&mut self, id: &str, from: &str, word: Word) {
+        self.counters.add(Counter::Callbacks);
+        let job = self.ids.get(id).copied();
+        let found = job.and_then(|job| {
+            let attempts = &mut self.held.get_mut(&job)?.attempts;
+            let at = attempts.iter().rposition(|a| &*a.from == from && a.stage != Stage::Over)?;
+            // Next hops repeat a call until they hear an answer. A repeat of the word that ended an earlier
+            // attempt there must not end this one, which that next hop has not yet taken on.
+            let repeat = |a: &Attempt| &*a.from == from && a.last.as_ref() == Some(&word);
+            let stale = !attempts[at].accepted && attempts[..at].iter().any(repeat);
+            (!stale).then_some((AttemptKey { job, attempt: at as u32 }, &mut attempts[at]))
+        });
+        let Some((key, attempt)) = found else { return self.counters.add(Counter::CallbacksIdle) };
+        let AttemptKey { job, attempt: number } = key;
+        let outcome = match &word {
+            Word::Started => return self.tell(Event::Started { job, attempt: number }),
+            Word::Running(share) if *share <= attempt.share => {
+                // A repeat that arrives late must not set the clock of the progress back.
+                return self.counters.add(Counter::CallbacksIdle);
+            }
+            Word::Running(share) => {
+                attempt.share = *share;
+                return self.tell(Event::Progress { job, attempt: number, done: *share });
+            }
+            Word::Done(_) => Outcome::Done,
+            Word::Failed => Outcome::Error,
+            Word::Returned => Outcome::Full,
+            Word::Lost => Outcome::Lost,
+        };
+        if let Word::Done(result) = &word {
+            let result = result.clone();
+            self.answer(job, Answer::Served(result));
+        } else {
+            attempt.last = Some(word);
+        }
+        self.ended(key, outcome);
+    }
+
+    fn attempt(&mut self, key: AttemptKey) -> Option<&mut Attempt> {
+        self.held.get_mut(&key.job)?.attempts.get_mut(key.attempt as usize)
+    }
+
+    /// An attempt is over; only the first end of each counts.
+    fn ended(&mut self, key: AttemptKey, outcome: Outcome) {
+        let Some(attempt) = self.attempt(key).filter(|a| a.stage != Stage::Over) else { return };
+        attempt.stage = Stage::Over;
+        attempt.give_up = None;
+        let times_out = attempt.times_out;
+        self.due.remove(&(times_out, Due::TimeOut(key)));
+        self.counters.add(match outcome {
+            Outcome::Done => Counter::EndedDone,
+            Outcome::Error => Counter::EndedError,
+            Outcome::Full => Counter::EndedFull,
+            Outcome::TimedOut => Counter::EndedTimedOut,
+            Outcome::Unreachable => Counter::EndedUnreachable,
+            Outcome::Lost => Counter::EndedLost,
+            Outcome::Cancelled => Counter::EndedCancelled,
+            Outcome::NeverSent => Counter::EndedNeverSent,
+        });
+        let settled = self.held.get(&key.job).is_some_and(|held| held.answer.is_none());
+        self.tell(Event::Ended { job: key.job, attempt: key.attempt, outcome, settled });
+        self.forget(key.job);
+    }
+
+    /// The module hears of the end only once the give-up is out, so that no two attempts of a job meet.
+    fn give_up(&mut self, key: AttemptKey, outcome: Outcome) {
+        let Some(attempt) = self.attempt(key).filter(|a| a.stage == Stage::Out) else { return };
+        attempt.stage = Stage::GivingUp(outcome);
+        if let Some(give_up) = attempt.give_up.take() {
+            // Where nobody listens any more, the end of the attempt is in the queue already.
+            let _ = give_up.send(());
+        }
+        self.counters.add(Counter::GivenUp);
+    }
+
+    fn listed(&mut self, now: Micros, hops: Vec<NextHop>, whole: bool) {
+        self.counters.add(Counter::ListChanges);
+        let entries: Vec<Listing> = hops.iter().map(|hop| hop.listing.clone()).collect();
+        if whole {
+            self.hops.clear();
+        }
+        for hop in hops {
+            if hop.listing.life == Life::Gone {
+                self.carrier.forget(hop.address);
+                self.hops.remove(&hop.listing.worker);
+            } else {
+                self.hops.insert(hop.listing.worker, (hop.name, hop.address));
+            }
+        }
+        self.dispatcher.handle(now, Event::Listed { entries: &entries, whole }, &mut self.actions);
+        self.carry_out();
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.dispatcher.handle(self.clock.now(), event, &mut self.actions);
+        self.carry_out();
+    }
+
+    fn carry_out(&mut self) {
+        let mut unsent = Vec::new();
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                Action::Send { job, worker, timeout } => unsent.extend(self.send(job, worker, timeout)),
+                Action::Refuse { job, wait } => {
+                    self.answer(job, Answer::Defer { after: Duration::from_micros(wait) });
+                    self.forget(job);
+                }
+                Action::Fail { job } => {
+                    self.answer(job, Answer::Failed);
+                    self.forget(job);
+                }
+                Action::Cancel { job, attempt } => {
+                    self.give_up(AttemptKey { job, attempt }, Outcome::Cancelled);
+                }
+                Action::Wake { after } => {
+                    self.due.insert((self.clock.now() + after, Due::Wake));
+                }
+                // A request to watch that is under way answers this one as well.
+                Action::Watch => _ = self.watch.try_send(()),
+                // The settings allow no messages between nodes, and no protocol carries any.
+                Action::Tell { .. } => {}
+            }
+        }
+        for key in unsent {
+            self.ended(key, Outcome::NeverSent);
+        }
+    }
+
+    /// Sends an attempt; one that has nowhere to go is returned.
+    fn send(&mut self, job: JobId, worker: WorkerId, timeout: Micros) -> Option<AttemptKey> {
+        let held = self.held.get_mut(&job)?;
+        let key = AttemptKey { job, attempt: held.attempts.len() as u32 };
+        let times_out = self.clock.now() + timeout;
+        let (give_up, asked) = oneshot::channel();
+        let hop = self.hops.get(&worker);
+        held.attempts.push(Attempt {
+            from: hop.map_or_else(|| "".into(), |hop| hop.0.clone()),
+            stage: Stage::Out,
+            accepted: false,
+            share: 0.0,
+            last: None,
+            give_up: Some(give_up),
+            times_out,
+        });
+        let Some(&(_, to)) = hop else { return Some(key) };
+        let (id, parcel) = (held.id.clone(), held.parcel.clone());
+        self.due.insert((times_out, Due::TimeOut(key)));
+        self.counters.add(Counter::Sent);
+        let wait = Duration::from_micros(timeout);
+        self.carrier.deliver(DeliveryAttempt { key, id, to, parcel, wait, give_up: asked });
+        None
+    }
+
+    /// Answers a job once: what comes after the first answer is dropped.
+    fn answer(&mut self, job: JobId, answer: Answer) {
+        let Some(sender) = self.held.get_mut(&job).and_then(|held| held.answer.take()) else { return };
+        self.counters.add(match &answer {
+            Answer::Served(_) => Counter::Served,
+            Answer::Defer { .. } => Counter::Deferred,
+            Answer::Failed | Answer::Duplicate => Counter::Failed,
+        });
+        // A client that left in this very moment needs no answer.
+        let _ = sender.send(answer);
+    }
+
+    /// Drops a job once it is answered and nothing of it is out.
+    fn forget(&mut self, job: JobId) {
+        let over = |held: &Held<_>| held.attempts.iter().all(|a| a.stage == Stage::Over);
+        if self.held.get(&job).is_some_and(|held| held.answer.is_none() && over(held))
+            && let Some(held) = self.held.remove(&job)
+        {
+            self.ids.remove(&held.id);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/lifecycle.rs
@@ -0,0 +1,116 @@
+//! Owns the phases of the program, from its start to its exit, and the configuration that it starts from.
+//! It must never touch a socket or a job: the other parts ask it which phase it is, and act on that themselves.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::transport_map::ListMessage;
+
+/// After SIGTERM the front still sends new connections here for up to 0.4 s, and clients use what they have.
+pub const DRAIN_AT_LEAST: Duration = Duration::from_millis(700);
+
+/// A phase of the program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// It listens, and has no transport map yet.
+    Starting,
+    /// It serves.
+    Ready,
+    /// It was told to end: it serves on and answers all that it has taken.
+    Draining,
+    /// Everything is answered.
+    Stopped,
+}
+
+/// The one object that knows the phase. Phases only go forward.
+pub struct Lifecycle {
+    phase: Cell<Phase>,
+}
+
+impl Lifecycle {
+    pub fn new() -> Self {
+        Lifecycle { phase: Cell::new(Phase::Starting) }
+    }
+
+    pub fn phase(&self) -> Phase {
+        self.phase.get()
+    }
+
+    /// Goes on to a later phase; an earlier one is passed over, as when the first list comes while draining.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.set(self.phase.get().max(phase));
+    }
+}
+
+/// What a node may use.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Limits {
+    /// File descriptors.
+    #[serde(default = "Limits::usual_sockets")]
+    pub sockets: usize,
+}
+
+impl Limits {
+    fn usual_sockets() -> usize {
+        1024
+    }
+}
+
+/// The configuration as it is written.
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: String,
+    discovery: String,
+    seed: String,
+    limits: Limits,
+    known: ListMessage,
+    settings: serde_json::Value,
+}
+
+/// What this node was told at its start.
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub limits: Limits,
+    pub known: ListMessage,
+    pub site: curlewusher_settings::Site,
+}
+
+impl Config {
+    /// Reads the file that RELAY_CONFIG names. The other variables stand before what it says.
+    pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let path = variable("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
+        Self::parse(&text, variable)
+    }
+
+    fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let json = &mut serde_json::Deserializer::from_str(text);
+        let file: File = serde_path_to_error::deserialize(json).map_err(|e| format!("config: {e}"))?;
+        let address = |name: &str, field: &str, text: String| {
+            let text = variable(name).unwrap_or(text);
+            text.parse().map_err(|_| format!("config: {field}: not an address and port: {text}"))
+        };
+        let site =
+            curlewusher_settings::read_from(file.settings).map_err(|e| format!("config: settings.{e}"))?;
+        if file.limits.sockets < 64 {
+            return Err("config: limits.sockets: under 64 a node cannot serve".into());
+        }
+        Ok(Config {
+            name: variable("RELAY_NAME").unwrap_or(file.name),
+            listen: address("RELAY_LISTEN", "listen", file.listen)?,
+            discovery: address("RELAY_DISCOVERY", "discovery", file.discovery)?,
+            seed: u64::from_str_radix(&file.seed, 16)
+                .map_err(|_| format!("config: seed: not a hexadecimal number of 64 bits: {}", file.seed))?,
+            limits: file.limits,
+            known: file.known,
+            site,
+        })
+    }
+}
--- /dev/null
+++ b/node/src/main.rs
@@ -0,0 +1,126 @@
+//! The node: curlewusher's decisions on real sockets. Owns the start of the parts and the order of their end.
+//! It must never do the work of a part.
+
+#![forbid(unsafe_code)]
+
+mod counters;
+mod dispatch;
+mod lifecycle;
+mod next_hop;
+mod sender_side;
+mod transport_map;
+
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use curlewusher::Dispatcher;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::{LocalSet, spawn_local};
+
+use crate::counters::Counters;
+use crate::dispatch::{Clock, Dispatch, QUEUE_ROOM};
+use crate::lifecycle::{Config, DRAIN_AT_LEAST, Lifecycle, Phase};
+use crate::next_hop::NextHops;
+use crate::sender_side::SenderSide;
+use crate::transport_map::{Names, TransportMap};
+
+/// Descriptors that are neither for clients nor for next hops: standard streams, discovery, the listener, the
+/// event queue, and some to spare.
+const RESERVED_SOCKETS: usize = 48;
+/// The last withdrawals may take this long after the last answer.
+const LAST_WORDS: Duration = Duration::from_millis(1500);
+
+fn main() -> ExitCode {
+    let run = || -> Result<(), String> {
+        let config = Config::read(|name| std::env::var(name).ok())?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(|e| format!("the runtime does not start: {e}"))?;
+        LocalSet::new().block_on(&runtime, serve(config))
+    };
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("curlewusher: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(config: Config) -> Result<(), String> {
+    let Config { name, listen, discovery, seed, limits, known, mut site } = config;
+    let lifecycle = Rc::new(Lifecycle::new());
+    let counters = Counters::new();
+    let clock = Clock::new();
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+
+    // PROTOCOL lets any refusal carry Retry-After, also where the simulator's clients would not hear of it.
+    site.decisions.max_advice = site.max_retry_after;
+    let dispatcher = Dispatcher::new(site.decisions.clone(), seed).map_err(|e| format!("config: {e}"))?;
+
+    let (queue, notices) = mpsc::channel(QUEUE_ROOM);
+    let (watch, asked) = mpsc::channel(1);
+    let sockets = limits.sockets - RESERVED_SOCKETS.min(limits.sockets / 4);
+    let next_hops = NextHops::new(
+        queue.clone(),
+        counters.clone(),
+        Duration::from_micros(site.connect_timeout),
+        // Half the time that the far end allows keeps well clear of its closing.
+        Duration::from_micros(site.keepalive / 2),
+        sockets / 3,
+    );
+    let mut names = Names::new(&site);
+    let hops = names.hops(&known.endpoints);
+    let listed = !hops.is_empty();
+    let dispatch =
+        Dispatch::new(dispatcher, clock, next_hops.clone(), notices, watch, counters.clone()).run(hops);
+    let map = TransportMap {
+        discovery,
+        names,
+        index: known.index,
+        queue: queue.clone(),
+        lifecycle: lifecycle.clone(),
+        counters: counters.clone(),
+    };
+    let sender_side =
+        SenderSide::new(queue, clock, &site, sockets - sockets / 3, lifecycle.clone(), counters.clone());
+    let listener = sender_side.listen(listen).await.map_err(|e| format!("config: listen: {listen}: {e}"))?;
+
+    let dispatch = spawn_local(dispatch);
+    let map = spawn_local(map.run(asked));
+    let sweep = spawn_local(next_hops.clone().sweep());
+    let accept = spawn_local(sender_side.clone().accept(listener));
+    if listed {
+        lifecycle.enter(Phase::Ready);
+    }
+    eprintln!("curlewusher {name}: serves on {listen}");
+
+    let ended = async {
+        terminate.recv().await;
+        lifecycle.enter(Phase::Draining);
+        eprintln!("curlewusher {name}: drains");
+        tokio::time::sleep(DRAIN_AT_LEAST).await;
+        sender_side.finish().await;
+        accept.abort();
+        sender_side.close().await;
+        let rest = async {
+            while !next_hops.at_rest() {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let _ = tokio::time::timeout(LAST_WORDS, rest).await;
+        lifecycle.enter(Phase::Stopped);
+    };
+    // Without the dispatch task or the transport map a node is deaf: better to end than to hang on.
+    tokio::select! {
+        () = ended => {}
+        end = dispatch => return Err(format!("the dispatch task ended: {end:?}")),
+        end = map => return Err(format!("the transport map ended: {end:?}")),
+        end = sweep => return Err(format!("the sweep of idle connections ended: {end:?}")),
+    }
+    eprint!("{}", counters.text());
+    Ok(())
+}
--- a/drill/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,4 +1,9 @@
-//! The settings object of the wire, turned into the library's settings.
+//! Reads the settings object that a node and a simulated instance are given, once for both.
+//!
+//! What the decisions need becomes the library's [`Settings`]; what only real sockets need stands beside it.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 use curlewusher::{Class, Effect, KeyScope, KindId, Micros, Settings, ZoneId};
 use serde::Deserialize;
@@ -24,11 +29,17 @@
     weights: String,
     #[serde(default)]
     family_info: FamilyInfo,
+    #[serde(default)]
+    localities: Vec<String>,
+    #[serde(default)]
+    kinds: Vec<String>,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Service {
+    #[serde(default)]
+    name: String,
     idempotency: String,
     #[serde(default)]
     key_scope: String,
@@ -63,6 +74,10 @@
     retry_after: bool,
     #[serde(default)]
     max_retry_after_us: Micros,
+    #[serde(default)]
+    connect_timeout_us: Micros,
+    #[serde(default)]
+    keepalive_us: Micros,
 }
 
 #[derive(Deserialize, Default)]
@@ -95,9 +110,34 @@
     tells_start: bool,
 }
 
+/// The settings object, read.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// What the decisions need.
+    pub decisions: Settings,
+    /// Names of the classes, by their place.
+    pub classes: Vec<String>,
+    /// Names of the zones, by their place.
+    pub zones: Vec<String>,
+    /// Names of the kinds of machine, by their place.
+    pub kinds: Vec<String>,
+    /// A connection that is not up after this long counts as refused.
+    pub connect_timeout: Micros,
+    /// A connection that has been idle for this long is closed by its far end.
+    pub keepalive: Micros,
+    /// The longest wait that a client follows.
+    pub max_retry_after: Micros,
+}
+
 /// Reads the settings; the error names the field.
-pub fn read(text: &str) -> Result<Settings, String> {
-    let wire: Wire = serde_json::from_str(text).map_err(|e| e.to_string())?;
+pub fn read(text: &str) -> Result<Site, String> {
+    let mut json = serde_json::Deserializer::from_str(text);
+    read_from(&mut json)
+}
+
+/// Reads the settings from any form that they come in; the error names the field.
+pub fn read_from<'a, D: serde::Deserializer<'a>>(source: D) -> Result<Site, String> {
+    let wire: Wire = serde_path_to_error::deserialize(source).map_err(|e| e.to_string())?;
     let info = &wire.family_info;
     let class = |(i, s): (usize, &Service)| -> Result<Class, String> {
         Ok(Class {
@@ -138,7 +178,15 @@
         fall_window: wire.rules.fall_us,
     };
     settings.check().map_err(|e| e.to_string())?;
-    Ok(settings)
+    Ok(Site {
+        decisions: settings,
+        classes: wire.services.into_iter().map(|s| s.name).collect(),
+        zones: wire.localities,
+        kinds: wire.kinds,
+        connect_timeout: wire.limits.connect_timeout_us,
+        keepalive: wire.limits.keepalive_us,
+        max_retry_after: wire.limits.max_retry_after_us,
+    })
 }
 
 fn effect(s: &Service) -> Result<Effect, String> {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -13,6 +13,14 @@
 /// A worker. Where nodes send each other messages, every node must use the same number for a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WorkerId(pub u64);
+
+impl WorkerId {
+    /// FNV-1a of a worker's name: the same number for it at every node.
+    pub fn of_name(name: &str) -> Self {
+        let mix = |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+        WorkerId(name.bytes().fold(0xcbf2_9ce4_8422_2325, mix))
+    }
+}
 /// Place of a class in [`Settings::classes`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClassId(pub usize);
