--- a/src/choice.rs
+++ b/src/choice.rs
@@ -377,7 +377,11 @@
         let over_quota = self.over_quota(now, offer.tenant.0, first);
         let value = if over_quota { worth * self.settings.over_quota_worth } else { worth };
         let aim_at = (now + aim).saturating_sub(waited);
-        let job = Job { over_quota, value, first, work, slots, aim_at, ..Job::new(offer) };
+        let mut job = Job { over_quota, value, first, work, slots, aim_at, ..Job::new(offer) };
+        if now + 2 * SWEEP >= job.deadline {
+            // A client's last retry: its time would be up before the next sweep could answer it.
+            return self.answer(&mut job, out);
+        }
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_STORE);
         self.copy_work = (self.copy_work + COPY_SHARE * self.fleet.prompt * job.load()).min(COPY_STORE);
         if first && !job.over_quota {
@@ -520,11 +524,6 @@
         }
     }
 
-    /// Whether all work at its workers is known to a node: its own alone, or told.
-    pub(crate) fn sees(&self) -> bool {
-        self.group_nodes() == 1 || self.tells()
-    }
-
     /// None of its attempts has started, each later than it should by now.
     fn stuck(&self, now: Micros, job: &Job) -> bool {
         let least = if self.sees() { SILENCE } else { LATE_START };
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -145,6 +145,11 @@
         }
     }
 
+    /// Whether all work at its workers is known to a node: its own alone, or told.
+    pub(crate) fn sees(&self) -> bool {
+        self.group_nodes() == 1 || self.tells()
+    }
+
     /// Nodes that share this node's own workers.
     pub(crate) fn group_nodes(&self) -> u32 {
         self.settings.nodes.div_ceil(self.fleet.groups as u32)
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -481,6 +481,15 @@
     assert!(refused(&actions) && failed(&actions), "{actions:?}");
 }
 
+#[test]
+fn a_job_whose_time_is_up_as_it_comes_is_answered_at_once() {
+    // A client's last retry can come with no time left: waiting for the next sweep would lose it.
+    let mut node = Node::new(settings(), &fleet(1));
+    let last = Offer { deadline: node.now + 5_000, repeat: true, ..offer(1, 0, 0.1, node.now) };
+    assert!(refused(&node.tell(Event::Offered(last))));
+    assert!(node.pass(SECOND).is_empty());
+}
+
 #[test]
 fn late_and_unknown_events_pass_quietly() {
     let mut node = Node::new(settings(), &fleet(1));
