--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -87,7 +87,8 @@
     };
     let sender_side =
         SenderSide::new(queue, clock, &site, sockets - sockets / 3, lifecycle.clone(), counters.clone());
-    let listener = sender_side.listen(listen).await.map_err(|e| format!("config: listen: {listen}: {e}"))?;
+    let listening = sender_side.listen(listen).and_then(|listener| Ok((listener.local_addr()?, listener)));
+    let (listen, listener) = listening.map_err(|e| format!("config: listen: {listen}: {e}"))?;
 
     let dispatch = spawn_local(dispatch);
     let map = spawn_local(map.run(asked));
--- a/node/src/sender_side.rs
+++ b/node/src/sender_side.rs
@@ -238,7 +238,7 @@
         SenderSide { shared, caller: None }
     }
 
-    pub async fn listen(&self, at: SocketAddr) -> std::io::Result<TcpListener> {
+    pub fn listen(&self, at: SocketAddr) -> std::io::Result<TcpListener> {
         let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         // A restart must not wait for the old connections to be forgotten.
         socket.set_reuseaddr(true)?;
--- /dev/null
+++ b/node/tests/common/mod.rs
@@ -0,0 +1,277 @@
+//! One node as a process, with a discovery and next hops of the test's own. Everything waits on events: a
+//! next hop's requests come through a channel, a client's answer is read to its end.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+use std::time::Duration;
+
+/// Nothing that these tests wait for takes nearly as long.
+pub const LONG: Duration = Duration::from_secs(20);
+
+/// A request or an answer as it was read.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub start: String,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status")
+    }
+
+    fn read(from: &mut impl BufRead) -> Option<Message> {
+        let mut line = || {
+            let mut line = String::new();
+            (from.read_line(&mut line).ok()? > 0).then(|| line.trim_end().to_owned())
+        };
+        let mut message = Message { start: line()?, ..Message::default() };
+        while let Some((name, value)) = line()?.split_once(": ") {
+            message.headers.push((name.to_owned(), value.to_owned()));
+        }
+        let length = message.header("content-length").map_or(0, |v| v.parse().expect("a length"));
+        let mut body = vec![0; length];
+        from.read_exact(&mut body).ok()?;
+        message.body = String::from_utf8(body).expect("text");
+        Some(message)
+    }
+}
+
+/// Writes a request on a new connection.
+pub fn write(to: SocketAddr, request: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(to).expect("it listens");
+    stream.set_read_timeout(Some(LONG)).expect("a time-out");
+    stream.write_all(request.as_bytes()).expect("it reads");
+    stream
+}
+
+pub fn answer(stream: TcpStream) -> Message {
+    Message::read(&mut BufReader::new(stream)).expect("an answer")
+}
+
+pub fn ask(to: SocketAddr, request: &str) -> Message {
+    answer(write(to, request))
+}
+
+/// A client's job with these headers besides the usual ones.
+pub fn job(id: &str, class: &str, wait: f64, more: &str) -> String {
+    format!(
+        "POST /api/k1?q=2 HTTP/1.1\r\nHost: x\r\nX-Request-Id: {id}\r\nX-Class: {class}\r\n\
+         X-Deadline: {wait}\r\nX-Cost-Hint: 100000\r\n{more}Content-Length: 4\r\n\r\nbody"
+    )
+}
+
+/// What a next hop got, and the connection to answer it on.
+pub struct Got {
+    pub message: Message,
+    /// Number of the connection, in the order in which they were accepted.
+    pub connection: usize,
+    stream: TcpStream,
+}
+
+impl Got {
+    pub fn answer(&self, status: &str) {
+        let text = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+        (&self.stream).write_all(text.as_bytes()).expect("the node reads");
+    }
+
+    /// Ends the connection without an answer.
+    pub fn reset(&self) {
+        self.stream.shutdown(std::net::Shutdown::Both).expect("it was open");
+    }
+}
+
+/// A server whose requests are handed to the test. An end of a connection comes as an empty message.
+pub struct Server {
+    pub address: SocketAddr,
+    got: Receiver<Got>,
+}
+
+impl Server {
+    pub fn start() -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let (sender, got) = channel();
+        thread::spawn(move || {
+            for (connection, stream) in listener.incoming().flatten().enumerate() {
+                let sender: Sender<Got> = sender.clone();
+                thread::spawn(move || {
+                    let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
+                    let got =
+                        |message| Got { message, connection, stream: stream.try_clone().expect("a handle") };
+                    while let Some(message) = Message::read(&mut reader) {
+                        if sender.send(got(message)).is_err() {
+                            return;
+                        }
+                    }
+                    let _ = sender.send(got(Message::default()));
+                });
+            }
+        });
+        Server { address, got }
+    }
+
+    pub fn next(&self) -> Got {
+        self.got.recv_timeout(LONG).expect("a request")
+    }
+
+    /// The next request, ends of connections passed over.
+    pub fn request(&self) -> Got {
+        std::iter::repeat_with(|| self.next()).find(|got| !got.message.start.is_empty()).expect("endless")
+    }
+
+    /// Whether anything but ends of connections has come that was not looked at.
+    pub fn has_more(&self) -> bool {
+        self.got.try_iter().any(|got| !got.message.start.is_empty())
+    }
+}
+
+/// Discovery: hands out the watch that the node opens.
+pub struct Watch(Got);
+
+impl Watch {
+    pub fn open(discovery: &Server) -> Watch {
+        let got = discovery.request();
+        assert!(got.message.start.starts_with("GET /v1/endpoints?follow=1&since="), "{}", got.message.start);
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        (&got.stream).write_all(head.as_bytes()).expect("the node reads");
+        Watch(got)
+    }
+
+    pub fn since(&self) -> &str {
+        self.0.message.start.split("since=").nth(1).and_then(|s| s.split(' ').next()).expect("a version")
+    }
+
+    pub fn line(&self, line: &str) {
+        let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+        (&self.0.stream).write_all(chunk.as_bytes()).expect("the node reads");
+    }
+
+    pub fn end(&self) {
+        self.0.reset();
+    }
+}
+
+pub fn endpoint(name: &str, at: SocketAddr, status: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"{at}","zone":"a","type":"m","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#
+    )
+}
+
+pub fn list(index: u64, snapshot: bool, endpoints: &[String]) -> String {
+    format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, endpoints.join(","))
+}
+
+const SETTINGS: &str = r#"{"balancers":1,"rank":0,"zone":0,"discovery":"subscribe","localities":["a"],"kinds":["m"],
+"services":[
+{"name":"view","idempotency":"safe","objectiveUs":9000000,"giveUpUs":9000000,"worth":1.0},
+{"name":"order","idempotency":"unsafe","objectiveUs":9000000,"giveUpUs":9000000,"worth":1.0},
+{"name":"register","idempotency":"keyed","keyScope":"cell","dedupWindowUs":40000000,"objectiveUs":9000000,
+"giveUpUs":9000000,"worth":1.0}],
+"limits":{"cancel":true,"mayDuplicate":false,"mayTell":false,"sendCap":3,"retryAfter":false,
+"maxRetryAfterUs":2000000,"connectTimeoutUs":2000000,"keepaliveUs":30000000},
+"familyInfo":{"tellsStart":true},
+"rules":{"askWithinUs":10000000,"coldShare":0.2,"warmUpUs":1000000,"overloadFactor":3.0,"fallUs":1000000}}"#;
+
+/// The node's configuration. The system chooses its port.
+pub fn config(discovery: SocketAddr, known: &[String]) -> String {
+    let known = list(41, true, known);
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{SETTINGS}}}"#
+    )
+}
+
+/// The program under test.
+pub struct Node {
+    pub address: SocketAddr,
+    child: Option<Child>,
+}
+
+impl Node {
+    /// Starts the program on that configuration, which it reads as soon as it is there.
+    pub fn spawn(config: &str) -> Child {
+        use std::sync::atomic::{AtomicU32, Ordering};
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let file = format!("{}/node-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+        std::fs::write(&file, config).expect("a place for the configuration");
+        Command::new(env!("CARGO_BIN_EXE_curlewusher"))
+            .env("RELAY_CONFIG", file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts")
+    }
+
+    /// A node that serves; it says so on standard error.
+    pub fn start(config: &str) -> Node {
+        let mut child = Node::spawn(config);
+        let mut said = BufReader::new(child.stderr.take().expect("piped"));
+        let mut line = String::new();
+        said.read_line(&mut line).expect("text");
+        let address = line.trim_end().split("serves on ").nth(1).and_then(|at| at.parse().ok());
+        let address = address.unwrap_or_else(|| panic!("{line}"));
+        // What it says later must not fill the pipe.
+        thread::spawn(move || std::io::copy(&mut said, &mut std::io::sink()));
+        Node { address, child: Some(child) }
+    }
+
+    /// A node that knows these next hops, its open watch, and discovery.
+    pub fn with(hops: &[(&str, &Server)]) -> (Node, Watch, Server) {
+        let discovery = Server::start();
+        let known: Vec<_> =
+            hops.iter().map(|(name, hop)| endpoint(name, hop.address, "in_service")).collect();
+        let node = Node::start(&config(discovery.address, &known));
+        let watch = Watch::open(&discovery);
+        watch.line(&list(42, true, &known));
+        (node, watch, discovery)
+    }
+
+    pub fn callback(&self, text: &str) -> u16 {
+        let length = text.len();
+        let head = format!("POST /callback HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n");
+        ask(self.address, &(head + text)).status()
+    }
+
+    pub fn tell(&self, id: &str, from: &str, rest: &str) {
+        let text = format!(r#"{{"id":"{id}","from":"{from}",{rest}}}"#);
+        assert_eq!(self.callback(&text), 204, "{text}");
+    }
+
+    pub fn get(&self, path: &str) -> Message {
+        ask(self.address, &format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n"))
+    }
+
+    /// One of its counters.
+    pub fn count(&self, series: &str) -> u64 {
+        let text = self.get("/metrics").body;
+        let value = text.lines().find_map(|line| line.strip_prefix(series)?.trim().parse().ok());
+        value.unwrap_or_else(|| panic!("no {series} in {text}"))
+    }
+
+    pub fn terminate(&self) {
+        let id = self.child.as_ref().expect("it runs").id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill is there").success());
+    }
+
+    pub fn end(mut self) -> Output {
+        self.child.take().expect("it runs").wait_with_output().expect("it ends")
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/node/tests/node.rs
@@ -0,0 +1,215 @@
+//! The program as a process: clients, next hops and discovery are played by the test.
+
+mod common;
+
+use std::io::Read;
+use std::net::TcpListener;
+
+use common::*;
+
+#[test]
+fn a_job_passes_through_unchanged_and_its_result_comes_back() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    assert_eq!(node.get("/ready").status(), 200);
+    let client = write(node.address, &job("r1", "register", 5.0, "Idempotency-Key: k9\r\n"));
+    let got = hop.next();
+    assert_eq!(got.message.start, "POST /api/k1?q=2 HTTP/1.1");
+    assert_eq!(got.message.header("x-request-id"), Some("r1"));
+    assert_eq!(got.message.header("idempotency-key"), Some("k9"));
+    assert_eq!(got.message.body, "body");
+    let wait: f64 = got.message.header("x-deadline").and_then(|v| v.parse().ok()).expect("a deadline");
+    assert!(wait > 0.0 && wait <= 5.0, "{wait}");
+    got.answer("202 Accepted");
+    node.tell("r1", "s-1", r#""state":"started""#);
+    node.tell("r1", "s-1", r#""state":"running","share":0.4"#);
+    node.tell("r1", "s-1", r#""state":"done","result":"a\nb""#);
+    let answer = answer(client);
+    assert_eq!((answer.status(), answer.body.as_str()), (200, "a\nb"));
+    assert_eq!(node.count(r#"curlewusher_answers_total{kind="served"}"#), 1);
+}
+
+#[test]
+fn calls_before_the_202_and_repeats_and_strangers_change_nothing_more() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let client = write(node.address, &job("r1", "view", 5.0, ""));
+    let got = hop.next();
+    // Neither another next hop nor another job is meant.
+    node.tell("r1", "s-9", r#""state":"failed""#);
+    node.tell("r9", "s-1", r#""state":"failed""#);
+    for _ in 0..3 {
+        node.tell("r1", "s-1", r#""state":"done","result":"first""#);
+    }
+    assert_eq!(answer(client).body, "first");
+    got.answer("202 Accepted");
+    assert_eq!(node.count("curlewusher_callbacks_without_effect_total"), 4);
+    assert_eq!(node.count("curlewusher_delivery_attempts_total"), 1);
+    for bad in ["", "{", r#"{"id":"a","from":"b"}"#, r#"{"id":"a","from":"b","state":"running"}"#] {
+        assert_eq!(node.callback(bad), 400, "{bad}");
+    }
+}
+
+#[test]
+fn a_connection_is_used_again_one_request_at_a_time() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    for id in ["r1", "r2", "r3"] {
+        let client = write(node.address, &job(id, "view", 5.0, ""));
+        let got = hop.next();
+        assert_eq!(got.connection, 0, "{id}");
+        got.answer("202 Accepted");
+        node.tell(id, "s-1", r#""state":"done","result":"x""#);
+        assert_eq!(answer(client).status(), 200);
+    }
+}
+
+#[test]
+fn an_unsafe_job_goes_out_again_only_when_it_never_ran() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    // Turned away unstarted: it goes out once more. Lost without a 202: it may have run.
+    let client = write(node.address, &job("r1", "order", 5.0, ""));
+    hop.next().answer("503 Service Unavailable\r\nX-Not-Run: 1");
+    hop.next().reset();
+    let lost = answer(client);
+    assert_eq!(lost.status(), 502, "a refusal would call it harmless to come again");
+    assert_eq!(node.count("curlewusher_delivery_attempts_total"), 2);
+    // A 503 without that header says nothing.
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let client = write(node.address, &job("r2", "order", 5.0, ""));
+    hop.request().answer("503 Service Unavailable");
+    assert_eq!(answer(client).status(), 502);
+    assert_eq!(node.count("curlewusher_delivery_attempts_total"), 1);
+}
+
+#[test]
+fn a_connection_closed_while_idle_costs_no_attempt() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    for id in ["r1", "r2"] {
+        let client = write(node.address, &job(id, "order", 5.0, ""));
+        let got = hop.request();
+        got.answer("202 Accepted");
+        node.tell(id, "s-1", r#""state":"done","result":"x""#);
+        assert_eq!(answer(client).status(), 200);
+        got.reset();
+    }
+    assert_eq!(node.count("curlewusher_delivery_attempts_total"), 2);
+}
+
+#[test]
+fn a_client_that_closes_is_gone_and_its_job_withdrawn() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    // After the 202 the job is withdrawn by name.
+    let client = write(node.address, &job("r1", "view", 5.0, ""));
+    hop.next().answer("202 Accepted");
+    node.tell("r1", "s-1", r#""state":"started""#);
+    drop(client);
+    let got = hop.next();
+    assert_eq!(got.message.start, "DELETE /jobs/r1 HTTP/1.1");
+    got.answer("204 No Content");
+    // Before it, the connection is closed.
+    let client = write(node.address, &job("r2", "view", 5.0, ""));
+    let got = hop.next();
+    assert!(got.message.start.starts_with("POST"), "{}", got.message.start);
+    drop(client);
+    assert_eq!(hop.next().message.start, "");
+    assert_eq!(node.count("curlewusher_clients_gone_total"), 2);
+}
+
+#[test]
+fn without_next_hops_or_discovery_a_job_is_deferred_before_its_deadline() {
+    let discovery = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port");
+    let node = Node::start(&config(discovery, &[]));
+    assert_eq!(node.get("/ready").status(), 503);
+    let answer = ask(node.address, &job("r1", "view", 0.3, ""));
+    assert_eq!(answer.status(), 503);
+    let after: f64 = answer.header("retry-after").and_then(|v| v.parse().ok()).expect("Retry-After");
+    assert!(after > 0.0 && after <= 2.0, "{after}");
+    assert_eq!(node.count("curlewusher_delivery_attempts_total"), 0);
+}
+
+#[test]
+fn what_is_malformed_gets_a_plain_answer_and_goes_no_further() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let good = job("r1", "view", 5.0, "");
+    let cases = [
+        (good.replace("X-Request-Id: r1\r\n", ""), 400),
+        (good.replace("X-Request-Id: r1", "X-Request-Id: a/b"), 400),
+        (good.replace("X-Class: view\r\n", ""), 400),
+        (good.replace("X-Class: view", "X-Class: other"), 400),
+        (good.replace("X-Class: view", "X-Class: register"), 400),
+        (good.replace("X-Deadline: 5\r\n", ""), 400),
+        (good.replace("X-Deadline: 5", "X-Deadline: -1"), 400),
+        (good.replace("X-Cost-Hint: 100000", "X-Cost-Hint: much"), 400),
+        (good.replace("Content-Length: 4", "X-Extras: slots\r\nContent-Length: 4"), 400),
+        (good.replace("/api/k1", "/elsewhere"), 404),
+        (good.replace("POST", "GET"), 405),
+        (good.replace("Content-Length: 4", "Content-Length: 65537"), 413),
+        ("nonsense\r\n\r\n".to_owned(), 400),
+    ];
+    for (request, status) in cases {
+        assert_eq!(ask(node.address, &request).status(), status, "{request}");
+    }
+    assert!(!hop.has_more());
+    assert_eq!(node.count("curlewusher_jobs_taken_total"), 0);
+}
+
+#[test]
+fn a_drain_is_heeded_and_a_broken_watch_goes_on_where_it_ended() {
+    let (first, second) = (Server::start(), Server::start());
+    let (node, watch, discovery) = Node::with(&[("s-1", &first), ("s-2", &second)]);
+    let before = node.count("curlewusher_transport_map_changes_total");
+    watch.line(&list(43, false, &[endpoint("s-1", first.address, "terminating")]));
+    while node.count("curlewusher_transport_map_changes_total") <= before {}
+    for id in ["r1", "r2", "r3"] {
+        let client = write(node.address, &job(id, "view", 5.0, ""));
+        second.next().answer("202 Accepted");
+        node.tell(id, "s-2", r#""state":"done","result":"x""#);
+        assert_eq!(answer(client).status(), 200);
+    }
+    assert!(!first.has_more());
+    watch.end();
+    assert_eq!(Watch::open(&discovery).since(), "43");
+}
+
+#[test]
+fn after_sigterm_it_serves_what_it_has_and_ends_well() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let client = write(node.address, &job("r1", "view", 9.0, ""));
+    hop.next().answer("202 Accepted");
+    node.terminate();
+    while node.get("/ready").status() == 200 {}
+    // It still takes what comes, and tells the client to go on elsewhere.
+    let late = write(node.address, &job("r2", "view", 9.0, ""));
+    node.tell("r1", "s-1", r#""state":"done","result":"x""#);
+    assert_eq!(answer(client).status(), 200);
+    hop.next().answer("202 Accepted");
+    node.tell("r2", "s-1", r#""state":"done","result":"y""#);
+    let late = answer(late);
+    assert_eq!((late.body.as_str(), late.header("connection")), ("y", Some("close")));
+    assert!(node.end().status.success());
+}
+
+#[test]
+fn a_bad_configuration_is_named_in_one_line() {
+    let good = config("127.0.0.1:1".parse().expect("an address"), &[]);
+    let cases = [
+        (good.replace(r#""sendCap":3"#, r#""sendCap":"x""#), "limits.sendCap"),
+        (good.replace(r#""coldShare":0.2"#, r#""coldShare":7"#), "cold_share"),
+        (good.replace("8c1f30d27a5be964", "xyz"), "seed"),
+        (good.replace(r#""listen":"127"#, r#""listen":"nowhere"#), "listen"),
+        (good.replace(r#""sockets":1024"#, r#""sockets":"many""#), "limits.sockets"),
+    ];
+    for (config, field) in cases {
+        let mut child = Node::spawn(&config);
+        let mut said = String::new();
+        child.stderr.take().expect("piped").read_to_string(&mut said).expect("text");
+        assert!(!child.wait().expect("it ends").success(), "{config}");
+        assert!(said.contains(field) && said.lines().count() == 1, "{field}: {said}");
+    }
+}
