--- a/node/src/sender_side.rs
+++ b/node/src/sender_side.rs
@@ -50,6 +50,8 @@
 const BACKLOG: u32 = 1024;
 /// Out of descriptors, accepting is tried again after this.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// A connection is not taken to be idle before this.
+const SETTLED: Duration = Duration::from_millis(200);
 /// Answers must be written and connections closed within this at the end.
 const CLOSE_TIME: Duration = Duration::from_millis(1000);
 
@@ -250,13 +252,28 @@
     /// idle for longest is closed: between requests that does no harm.
     pub async fn accept(self, listener: TcpListener) {
         loop {
-            if self.shared.room.available_permits() <= 1 {
-                self.close_longest_idle();
-            }
-            let Ok(room) = self.shared.room.clone().acquire_owned().await else { return };
+            // All may be busy now and idle later: one such look is not enough, or nothing is accepted again.
+            let room = loop {
+                if self.shared.room.available_permits() <= 1 {
+                    self.close_longest_idle();
+                }
+                if let Ok(room) = timeout(ACCEPT_PAUSE, self.shared.room.clone().acquire_owned()).await {
+                    break room;
+                }
+            };
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let serve = self.clone().serve(stream);
+                    // It is known as a caller from here on, not from when its task first runs: a burst is
+                    // accepted before that, and would fill all places with connections that none can close.
+                    let caller = Rc::new(Caller {
+                        busy: Cell::new(false),
+                        next_hop: Cell::new(false),
+                        since: Cell::new(Instant::now()),
+                        close: Notify::new(),
+                    });
+                    self.shared.callers.borrow_mut().push(Rc::downgrade(&caller));
+                    let serve =
+                        SenderSide { shared: self.shared.clone(), caller: Some(caller) }.serve(stream);
                     spawn_local(async {
                         serve.await;
                         drop(room);
@@ -279,7 +296,10 @@
     }
 
     fn close_longest_idle(&self) {
-        let idle = self.callers().into_iter().filter(|caller| !caller.busy.get());
+        let idle = self.callers().into_iter().filter(|caller| {
+            // On a young one a request may have come that was not read yet.
+            !caller.busy.get() && caller.since.get().elapsed() >= SETTLED
+        });
         if let Some(caller) = idle.min_by_key(|caller| caller.since.get()) {
             // It is not chosen twice.
             caller.since.set(Instant::now());
@@ -287,17 +307,10 @@
         }
     }
 
-    async fn serve(mut self, stream: TcpStream) {
+    async fn serve(self, stream: TcpStream) {
         // Without it an answer could wait for the far end's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
-        let caller = Rc::new(Caller {
-            busy: Cell::new(false),
-            next_hop: Cell::new(false),
-            since: Cell::new(Instant::now()),
-            close: Notify::new(),
-        });
-        self.shared.callers.borrow_mut().push(Rc::downgrade(&caller));
-        self.caller = Some(caller.clone());
+        let Some(caller) = self.caller.clone() else { return };
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE_TIME)
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -198,22 +198,29 @@
 
 impl Node {
     /// Starts the program on that configuration, which it reads as soon as it is there.
-    pub fn spawn(config: &str) -> Child {
+    pub fn spawn(config: &str, descriptors: u32) -> Child {
         use std::sync::atomic::{AtomicU32, Ordering};
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let file = format!("{}/node-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
         std::fs::write(&file, config).expect("a place for the configuration");
-        Command::new(env!("CARGO_BIN_EXE_curlewusher"))
+        // The shell lowers its own limit and then becomes the program.
+        Command::new("sh")
+            .args(["-c", r#"ulimit -n "$0" && exec "$1""#, &descriptors.to_string()])
+            .arg(env!("CARGO_BIN_EXE_curlewusher"))
             .env("RELAY_CONFIG", file)
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts")
     }
 
-    /// A node that serves; it says so on standard error.
     pub fn start(config: &str) -> Node {
-        let mut child = Node::spawn(config);
+        Node::start_within(config, 1024)
+    }
+
+    /// A node that serves with so many descriptors; it says so on standard error.
+    pub fn start_within(config: &str, descriptors: u32) -> Node {
+        let mut child = Node::spawn(config, descriptors);
         let mut said = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
         said.read_line(&mut line).expect("text");
--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -195,6 +195,25 @@
     assert!(node.end().status.success());
 }
 
+#[test]
+fn more_connections_than_descriptors_do_not_shut_a_job_out() {
+    let (discovery, hop) = (Server::start(), Server::start());
+    let config = config(discovery.address, &[endpoint("s-1", hop.address, "in_service")]);
+    // By its own count it closes idle connections in time, and keeps descriptors for next hops.
+    let node = Node::start(&config.replace("1024", "64"));
+    let crowd: Vec<_> = (0..100).map(|_| write(node.address, "")).collect();
+    let client = write(node.address, &job("r1", "view", 9.0, ""));
+    hop.request().answer("202 Accepted");
+    node.tell("r1", "s-1", r#""state":"done","result":"x""#);
+    assert_eq!(answer(client).status(), 200);
+    drop(crowd);
+    // Told of far more descriptors than it has, it meets the system's refusal, and survives that.
+    let node = Node::start_within(&config, 48);
+    let _crowd: Vec<_> = (0..100).map(|_| write(node.address, "")).collect();
+    assert_eq!(node.get("/ready").status(), 200);
+    assert!(node.count("curlewusher_accept_failures_total") > 0);
+}
+
 #[test]
 fn a_bad_configuration_is_named_in_one_line() {
     let good = config("127.0.0.1:1".parse().expect("an address"), &[]);
@@ -206,7 +225,7 @@
         (good.replace(r#""sockets":1024"#, r#""sockets":"many""#), "limits.sockets"),
     ];
     for (config, field) in cases {
-        let mut child = Node::spawn(&config);
+        let mut child = Node::spawn(&config, 1024);
         let mut said = String::new();
         child.stderr.take().expect("piped").read_to_string(&mut said).expect("text");
         assert!(!child.wait().expect("it ends").success(), "{config}");
