More network tests: silent next hops, ids in hand, handed-back jobs, silent watches

One was wrong at first: a second job at a next hop that had been silent is held back by the module, so each case now has a node of its own.

--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -119,6 +119,62 @@
     assert_eq!(node.count("curlewusher_clients_gone_total"), 2);
 }
 
+#[test]
+fn a_silent_next_hop_costs_the_answer_no_time_and_is_told_to_stop() {
+    // It may have run, so that an order fails and a view is deferred; either attempt is given up.
+    for (class, status) in [("order", 502), ("view", 503)] {
+        let hop = Server::start();
+        let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+        let client = write(node.address, &job("r1", class, 0.3, ""));
+        assert!(hop.next().message.start.starts_with("POST"));
+        let answer = answer(client);
+        assert_eq!((answer.status(), answer.header("retry-after").is_some()), (status, status == 503));
+        assert_eq!(hop.next().message.start, "");
+        assert_eq!(node.count("curlewusher_delivery_attempts_given_up_total"), 1);
+    }
+}
+
+#[test]
+fn an_id_in_hand_is_not_taken_again_and_its_first_job_is_not_disturbed() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let client = write(node.address, &job("r1", "order", 5.0, ""));
+    hop.next().answer("202 Accepted");
+    assert_eq!(ask(node.address, &job("r1", "order", 5.0, "")).status(), 409);
+    node.tell("r1", "s-1", r#""state":"done","result":"x""#);
+    assert_eq!(answer(client).status(), 200);
+    assert!(!hop.has_more());
+}
+
+#[test]
+fn a_job_handed_back_goes_to_another_next_hop() {
+    let (first, second) = (Server::start(), Server::start());
+    let (node, watch, _discovery) = Node::with(&[("s-1", &first)]);
+    let client = write(node.address, &job("r1", "order", 5.0, ""));
+    first.next().answer("202 Accepted");
+    let before = node.count("curlewusher_transport_map_changes_total");
+    let change =
+        [endpoint("s-1", first.address, "terminating"), endpoint("s-2", second.address, "in_service")];
+    watch.line(&list(43, false, &change));
+    while node.count("curlewusher_transport_map_changes_total") <= before {}
+    node.tell("r1", "s-1", r#""state":"returned""#);
+    second.next().answer("202 Accepted");
+    // Late and repeated words of the first say nothing of the second.
+    node.tell("r1", "s-1", r#""state":"returned""#);
+    node.tell("r1", "s-2", r#""state":"done","result":"x""#);
+    assert_eq!(answer(client).status(), 200);
+}
+
+#[test]
+fn a_silent_watch_is_opened_again() {
+    // A change that does not arrive counts as told all the same: silence must not be taken for calm.
+    let discovery = Server::start();
+    let _node = Node::start(&config(discovery.address, &[]));
+    let first = Watch::open(&discovery);
+    first.line("");
+    assert_eq!(Watch::open(&discovery).since(), "41");
+}
+
 #[test]
 fn without_next_hops_or_discovery_a_job_is_deferred_before_its_deadline() {
     let discovery = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port");
