SIGHUP reads the configuration again and moves the watch before dropping the old one

Checked: the log ends without a word at that moment; main.rs registered SIGTERM only, after the configuration was read, and TransportMap::run could hold one watch at a time, whose time-outs (1 s, 4 s, 3 s) add up to over 4 s. Changed: both signals are handled before anything else; Config::read_again lets the file's discovery win over the environment; the new watch is opened, for the whole list since the index belongs to the old address, and read up to its first line while the old one goes on. A call that hangs ends after 2.2 s, which leaves time for a second. Test: a_new_configuration_moves_the_watch_before_the_old_one_is_dropped; without the change the program ends.

--- a/node/src/counters.rs
+++ b/node/src/counters.rs
@@ -40,6 +40,8 @@
     ConnectsFailed, "curlewusher_next_hop_connections_failed_total", "Connections to next hops that did not come up.";
     ListChanges, "curlewusher_transport_map_changes_total", "Lists and changes read from discovery.";
     ListFailures, "curlewusher_transport_map_failures_total", "Watches of discovery that broke or failed.";
+    Reloads, "curlewusher_reloads_total", "Configurations read again on SIGHUP.";
+    ReloadFailures, "curlewusher_reload_failures_total", "Configurations that could not be used on SIGHUP.";
     AcceptFailures, "curlewusher_accept_failures_total", "Failures to accept a connection.";
 }
 
--- a/node/src/lifecycle.rs
+++ b/node/src/lifecycle.rs
@@ -90,6 +90,12 @@
         Self::parse(&text, variable)
     }
 
+    /// Reads the file again, for SIGHUP: here what it says of discovery stands before RELAY_DISCOVERY, which
+    /// is as old as the process. The whole file must be good, or nothing of it counts.
+    pub fn read_again(variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        Self::read(|name| variable(name).filter(|_| name != "RELAY_DISCOVERY"))
+    }
+
     fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let json = &mut serde_json::Deserializer::from_str(text);
         let file: File = serde_path_to_error::deserialize(json).map_err(|e| format!("config: {e}"))?;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -16,10 +16,10 @@
 
 use curlewusher::Dispatcher;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 
-use crate::counters::Counters;
+use crate::counters::{Counter, Counters};
 use crate::dispatch::{Clock, Dispatch, QUEUE_ROOM};
 use crate::lifecycle::{Config, DRAIN_AT_LEAST, Lifecycle, Phase};
 use crate::next_hop::NextHops;
@@ -34,12 +34,11 @@
 
 fn main() -> ExitCode {
     let run = || -> Result<(), String> {
-        let config = Config::read(|name| std::env::var(name).ok())?;
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
             .map_err(|e| format!("the runtime does not start: {e}"))?;
-        LocalSet::new().block_on(&runtime, serve(config))
+        LocalSet::new().block_on(&runtime, serve())
     };
     match run() {
         Ok(()) => ExitCode::SUCCESS,
@@ -50,19 +49,30 @@
     }
 }
 
-async fn serve(config: Config) -> Result<(), String> {
+/// The environment, for the configuration.
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
+async fn serve() -> Result<(), String> {
+    // Before all else: until a signal is handled it ends the program.
+    let handle = |kind, name| signal(kind).map_err(|e| format!("{name}: {e}"));
+    let mut terminate = handle(SignalKind::terminate(), "SIGTERM")?;
+    let mut hang_up = handle(SignalKind::hangup(), "SIGHUP")?;
+
+    let config = Config::read(variable)?;
     let Config { name, listen, discovery, seed, limits, known, mut site } = config;
     let lifecycle = Rc::new(Lifecycle::new());
     let counters = Counters::new();
     let clock = Clock::new();
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
 
     // PROTOCOL lets any refusal carry Retry-After, also where the simulator's clients would not hear of it.
     site.decisions.max_advice = site.max_retry_after;
     let dispatcher = Dispatcher::new(site.decisions.clone(), seed).map_err(|e| format!("config: {e}"))?;
 
     let (queue, notices) = mpsc::channel(QUEUE_ROOM);
-    let (watch, asked) = mpsc::channel(1);
+    let (ask, asked) = mpsc::channel(1);
+    let (move_to, moved) = watch::channel(discovery);
     let sockets = limits.sockets - RESERVED_SOCKETS.min(limits.sockets / 4);
     let next_hops = NextHops::new(
         queue.clone(),
@@ -76,7 +86,7 @@
     let hops = names.hops(&known.endpoints);
     let listed = !hops.is_empty();
     let dispatch =
-        Dispatch::new(dispatcher, clock, next_hops.clone(), notices, watch, counters.clone()).run(hops);
+        Dispatch::new(dispatcher, clock, next_hops.clone(), notices, ask, counters.clone()).run(hops);
     let map = TransportMap {
         discovery,
         names,
@@ -91,7 +101,7 @@
     let (listen, listener) = listening.map_err(|e| format!("config: listen: {listen}: {e}"))?;
 
     let dispatch = spawn_local(dispatch);
-    let map = spawn_local(map.run(asked));
+    let map = spawn_local(map.run(asked, moved));
     let sweep = spawn_local(next_hops.clone().sweep());
     let accept = spawn_local(sender_side.clone().accept(listener));
     if listed {
@@ -99,6 +109,21 @@
     }
     eprintln!("curlewusher {name}: serves on {listen}");
 
+    let reloads = async {
+        while hang_up.recv().await.is_some() {
+            match Config::read_again(variable) {
+                Ok(config) => {
+                    counters.add(Counter::Reloads);
+                    move_to
+                        .send_if_modified(|to| std::mem::replace(to, config.discovery) != config.discovery);
+                }
+                Err(problem) => {
+                    counters.add(Counter::ReloadFailures);
+                    eprintln!("curlewusher {name}: {problem}; the old configuration stays");
+                }
+            }
+        }
+    };
     let ended = async {
         terminate.recv().await;
         lifecycle.enter(Phase::Draining);
@@ -118,6 +143,8 @@
     // Without the dispatch task or the transport map a node is deaf: better to end than to hang on.
     tokio::select! {
         () = ended => {}
+        // Without its signals it could still serve, but nobody could tell it anything.
+        () = reloads => return Err("SIGHUP is no longer delivered".into()),
         end = dispatch => return Err(format!("the dispatch task ended: {end:?}")),
         end = map => return Err(format!("the transport map ended: {end:?}")),
         end = sweep => return Err(format!("the sweep of idle connections ended: {end:?}")),
--- a/node/src/transport_map.rs
+++ b/node/src/transport_map.rs
@@ -1,7 +1,9 @@
 //! Owns the watch on discovery's list, the transport map, and its translation into the module's listings.
 //! It must never keep back, reorder or judge a change: each goes to the dispatch task the moment it is read.
 
+use std::future::{Future, pending};
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,8 +16,8 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::counters::{Counter, Counters};
 use crate::dispatch::{NextHop, Notice, Queue};
@@ -25,11 +27,12 @@
 /// A watch sends a line every 2 s. What it has to tell counts as told after 6 s, and work must stop 0.75 s
 /// later: silence must be noticed early enough for a second watch to bring the change in that time.
 const SILENCE: Duration = Duration::from_millis(3000);
-/// Discovery serves calls one after another, so that an answer may take a while to begin.
-const ANSWER: Duration = Duration::from_millis(4000);
-const CONNECT: Duration = Duration::from_millis(1000);
+/// Discovery serves calls one after another and gives up those that wait for 2 s. After a change of its address
+/// all must be told within 4 s: one call that hangs must leave time for a second.
+const ANSWER: Duration = Duration::from_millis(2200);
+const CONNECT: Duration = Duration::from_millis(700);
 /// No line is longer than this; a line beyond it is nonsense.
-const LONGEST_LINE: usize = 4 << 20;
+const LONGEST_LINE: usize = 1 << 20;
 
 /// A list or a change of it, as discovery writes it.
 #[derive(Clone, Debug, Deserialize)]
@@ -114,6 +117,74 @@
     }
 }
 
+/// A watch that is open: what was read of it, and when anything last was.
+struct Watch {
+    from: SocketAddr,
+    body: Incoming,
+    text: BytesMut,
+    heard: Instant,
+}
+
+/// A watch that is being opened, up to its first line.
+type Opening = Pin<Box<dyn Future<Output = Result<(Watch, Option<ListMessage>), String>>>>;
+
+impl Watch {
+    async fn open(from: SocketAddr, index: u64) -> Result<Self, String> {
+        let stream = match timeout(CONNECT, TcpStream::connect(from)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return Err(format!("discovery cannot be reached: {e}")),
+            Err(_) => return Err("discovery cannot be reached in time".into()),
+        };
+        let _ = stream.set_nodelay(true);
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| format!("discovery: {e}"))?;
+        // It ends with the body that is read from it.
+        tokio::task::spawn_local(connection);
+        let request = Request::get(format!("/v1/endpoints?follow=1&since={index}"))
+            .header(header::HOST, from.to_string())
+            .body(Empty::<Bytes>::new())
+            .map_err(|e| format!("discovery: {e}"))?;
+        let response = sender.send_request(request).await.map_err(|e| format!("discovery: {e}"))?;
+        match response.status() {
+            StatusCode::OK => {
+                let (text, heard) = (BytesMut::new(), Instant::now());
+                Ok(Watch { from, body: response.into_body(), text, heard })
+            }
+            status => Err(format!("discovery answered {status}")),
+        }
+    }
+
+    /// The next line; none where it says that nothing has changed. May be dropped and called again: what was
+    /// read and the time of it stay with the watch.
+    async fn next(&mut self) -> Result<Option<ListMessage>, String> {
+        loop {
+            if let Some(end) = self.text.iter().position(|b| *b == b'\n') {
+                let line = self.text.split_to(end);
+                self.text.advance(1);
+                if line.trim_ascii().is_empty() {
+                    return Ok(None);
+                }
+                let message = serde_json::from_slice(&line);
+                return message.map(Some).map_err(|e| format!("a line of the watch cannot be read: {e}"));
+            }
+            if self.text.len() > LONGEST_LINE {
+                return Err("a line of the watch is too long".into());
+            }
+            let frame = match timeout_at(self.heard + SILENCE, self.body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(e))) => return Err(format!("the watch broke: {e}")),
+                Ok(None) => return Err("the watch ended".into()),
+                Err(_) => return Err("the watch fell silent".into()),
+            };
+            self.heard = Instant::now();
+            if let Ok(data) = frame.into_data() {
+                self.text.extend_from_slice(&data);
+            }
+        }
+    }
+}
+
 /// The task that watches discovery, whenever the dispatch task asks for it.
 pub struct TransportMap {
     pub discovery: SocketAddr,
@@ -125,93 +196,92 @@
 }
 
 impl TransportMap {
-    pub async fn run(mut self, mut asked: mpsc::Receiver<()>) {
-        while asked.recv().await.is_some() {
-            let broken = self.watch(&mut asked).await;
-            self.counters.add(Counter::ListFailures);
-            eprintln!("transport map: {broken}");
-            if self.queue.send(Notice::ListFailed).await.is_err() {
-                return;
-            }
-        }
-    }
-
-    /// Watches until the watch ends, and says why it did.
-    async fn watch(&mut self, asked: &mut mpsc::Receiver<()>) -> String {
-        let mut body = match timeout(ANSWER, self.open()).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(problem)) => return problem,
-            Err(_) => return "the watch did not begin in time".into(),
-        };
-        // Asked for again while it was being opened: this watch answers that as well.
-        while asked.try_recv().is_ok() {}
-        let mut text = BytesMut::new();
-        let mut confirmed = false;
+    /// `moved` tells of a new address of discovery. The old watch is read until the first line of the new one
+    /// has come: in between, changes may still be told by it.
+    pub async fn run(mut self, mut asked: mpsc::Receiver<()>, mut moved: watch::Receiver<SocketAddr>) {
+        let mut live: Option<Watch> = None;
+        let mut opening: Option<Opening> = None;
         loop {
-            let frame = match timeout(SILENCE, body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(e))) => return format!("the watch broke: {e}"),
-                Ok(None) => return "the watch ended".into(),
-                Err(_) => return "the watch fell silent".into(),
-            };
-            let Ok(data) = frame.into_data() else { continue };
-            text.extend_from_slice(&data);
-            if text.len() > LONGEST_LINE {
-                return "a line of the watch is too long".into();
-            }
-            while let Some(end) = text.iter().position(|b| *b == b'\n') {
-                let line = text.split_to(end);
-                text.advance(1);
-                let empty = line.trim_ascii().is_empty();
-                if empty && confirmed {
+            let heard = tokio::select! {
+                biased;
+                Ok(()) = moved.changed() => {
+                    self.discovery = *moved.borrow_and_update();
+                    // Another discovery counts its changes in its own way: the whole list is wanted.
+                    self.index = 0;
+                    opening = Some(self.open());
+                    continue;
+                }
+                asked = asked.recv() => {
+                    if asked.is_none() {
+                        return;
+                    }
+                    // A watch that is open, or about to be, answers this as well.
+                    if opening.is_none() && live.as_ref().is_none_or(|watch| watch.from != self.discovery) {
+                        opening = Some(self.open());
+                    }
                     continue;
                 }
-                // A first line without a change says that the list stands: the module waits for that.
-                let message = if empty {
-                    ListMessage { index: self.index, snapshot: false, endpoints: Vec::new() }
-                } else {
-                    match serde_json::from_slice(&line) {
-                        Ok(message) => message,
-                        Err(e) => return format!("a line of the watch cannot be read: {e}"),
+                opened = async {
+                    match &mut opening {
+                        Some(opening) => opening.await,
+                        None => pending().await,
                     }
-                };
-                confirmed = true;
-                if self.apply(message).await.is_err() {
-                    return "the dispatch task has ended".into();
+                } => {
+                    opening = None;
+                    opened.map(|(watch, first)| {
+                        live = Some(watch);
+                        // A first line without a change says that the list stands: the module waits for that.
+                        let unchanged = ListMessage { index: self.index, snapshot: false, endpoints: Vec::new() };
+                        Some(first.unwrap_or(unchanged))
+                    })
                 }
+                line = async {
+                    match &mut live {
+                        Some(watch) => watch.next().await,
+                        None => pending().await,
+                    }
+                } => {
+                    if line.is_err() {
+                        live = None;
+                    }
+                    line
+                }
+            };
+            let notice = match heard {
+                Ok(None) => continue,
+                Ok(Some(message)) => {
+                    if live.as_ref().is_some_and(|watch| watch.from == self.discovery) {
+                        self.index = message.index;
+                    }
+                    self.lifecycle.enter(Phase::Ready);
+                    let hops = self.names.hops(&message.endpoints);
+                    Notice::Listed { hops, whole: message.snapshot }
+                }
+                Err(broken) => {
+                    self.counters.add(Counter::ListFailures);
+                    eprintln!("transport map: {broken}");
+                    if opening.is_some() {
+                        // The one that is being opened stands in for it.
+                        continue;
+                    }
+                    Notice::ListFailed
+                }
+            };
+            if self.queue.send(notice).await.is_err() {
+                return;
             }
         }
     }
 
-    async fn apply(&mut self, message: ListMessage) -> Result<(), ()> {
-        self.index = message.index;
-        let hops = self.names.hops(&message.endpoints);
-        let listed = Notice::Listed { hops, whole: message.snapshot };
-        self.queue.send(listed).await.map_err(|_| ())?;
-        self.lifecycle.enter(Phase::Ready);
-        Ok(())
-    }
-
-    async fn open(&self) -> Result<Incoming, String> {
-        let stream = match timeout(CONNECT, TcpStream::connect(self.discovery)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(e)) => return Err(format!("discovery cannot be reached: {e}")),
-            Err(_) => return Err("discovery cannot be reached in time".into()),
-        };
-        let _ = stream.set_nodelay(true);
-        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| format!("discovery: {e}"))?;
-        // It ends with the body that is read from it.
-        tokio::task::spawn_local(connection);
-        let request = Request::get(format!("/v1/endpoints?follow=1&since={}", self.index))
-            .header(header::HOST, self.discovery.to_string())
-            .body(Empty::<Bytes>::new())
-            .map_err(|e| format!("discovery: {e}"))?;
-        let response = sender.send_request(request).await.map_err(|e| format!("discovery: {e}"))?;
-        match response.status() {
-            StatusCode::OK => Ok(response.into_body()),
-            status => Err(format!("discovery answered {status}")),
-        }
+    fn open(&self) -> Opening {
+        let (from, index) = (self.discovery, self.index);
+        Box::pin(async move {
+            let open = async {
+                let mut watch = Watch::open(from, index).await?;
+                let first = watch.next().await?;
+                Ok((watch, first))
+            };
+            timeout(ANSWER, open).await.unwrap_or_else(|_| Err("the watch did not begin in time".into()))
+        })
     }
 }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -140,7 +140,7 @@
 impl Watch {
     pub fn open(discovery: &Server) -> Watch {
         let got = discovery.request();
-        assert!(got.message.start.starts_with("GET /v1/endpoints?follow=1&since="), "{}", got.message.start);
+        assert!(got.message.start.starts_with("GET /v1/endpoints?follow=1"), "{}", got.message.start);
         let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
         (&got.stream).write_all(head.as_bytes()).expect("the node reads");
         Watch(got)
@@ -193,25 +193,28 @@
 /// The program under test.
 pub struct Node {
     pub address: SocketAddr,
+    file: String,
+    said: Receiver<String>,
     child: Option<Child>,
 }
 
 impl Node {
     /// Starts the program on that configuration, which it reads as soon as it is there.
-    pub fn spawn(config: &str, descriptors: u32) -> Child {
+    pub fn spawn(config: &str, descriptors: u32) -> (Child, String) {
         use std::sync::atomic::{AtomicU32, Ordering};
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let file = format!("{}/node-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
         std::fs::write(&file, config).expect("a place for the configuration");
         // The shell lowers its own limit and then becomes the program.
-        Command::new("sh")
+        let child = Command::new("sh")
             .args(["-c", r#"ulimit -n "$0" && exec "$1""#, &descriptors.to_string()])
             .arg(env!("CARGO_BIN_EXE_curlewusher"))
-            .env("RELAY_CONFIG", file)
+            .env("RELAY_CONFIG", &file)
             .stderr(Stdio::piped())
             .spawn()
-            .expect("the program starts")
+            .expect("the program starts");
+        (child, file)
     }
 
     pub fn start(config: &str) -> Node {
@@ -220,15 +223,26 @@
 
     /// A node that serves with so many descriptors; it says so on standard error.
     pub fn start_within(config: &str, descriptors: u32) -> Node {
-        let mut child = Node::spawn(config, descriptors);
-        let mut said = BufReader::new(child.stderr.take().expect("piped"));
-        let mut line = String::new();
-        said.read_line(&mut line).expect("text");
-        let address = line.trim_end().split("serves on ").nth(1).and_then(|at| at.parse().ok());
+        let (mut child, file) = Node::spawn(config, descriptors);
+        let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let (sender, said) = channel();
+        // What it says must not fill the pipe, whether the test looks at it or not.
+        thread::spawn(move || lines.map_while(Result::ok).for_each(|line| _ = sender.send(line)));
+        let line: String = said.recv_timeout(LONG).expect("a line");
+        let address = line.split("serves on ").nth(1).and_then(|at| at.parse().ok());
         let address = address.unwrap_or_else(|| panic!("{line}"));
-        // What it says later must not fill the pipe.
-        thread::spawn(move || std::io::copy(&mut said, &mut std::io::sink()));
-        Node { address, child: Some(child) }
+        Node { address, file, said, child: Some(child) }
+    }
+
+    /// The next line that it writes to standard error.
+    pub fn says(&self) -> String {
+        self.said.recv_timeout(LONG).expect("a line")
+    }
+
+    /// Writes another configuration and has it read.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.file, config).expect("a place for the configuration");
+        self.signal("-HUP");
     }
 
     /// A node that knows these next hops, its open watch, and discovery.
@@ -264,9 +278,9 @@
         value.unwrap_or_else(|| panic!("no {series} in {text}"))
     }
 
-    pub fn terminate(&self) {
+    pub fn signal(&self, which: &str) {
         let id = self.child.as_ref().expect("it runs").id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill is there").success());
+        assert!(Command::new("kill").args([which, &id]).status().expect("kill is there").success());
     }
 
     pub fn end(mut self) -> Output {
--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -238,7 +238,7 @@
     let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
     let client = write(node.address, &job("r1", "view", 9.0, ""));
     hop.next().answer("202 Accepted");
-    node.terminate();
+    node.signal("-TERM");
     while node.get("/ready").status() == 200 {}
     // It still takes what comes, and tells the client to go on elsewhere.
     let late = write(node.address, &job("r2", "view", 9.0, ""));
@@ -281,10 +281,47 @@
         (good.replace(r#""sockets":1024"#, r#""sockets":"many""#), "limits.sockets"),
     ];
     for (config, field) in cases {
-        let mut child = Node::spawn(&config, 1024);
+        let (mut child, _) = Node::spawn(&config, 1024);
         let mut said = String::new();
         child.stderr.take().expect("piped").read_to_string(&mut said).expect("text");
         assert!(!child.wait().expect("it ends").success(), "{config}");
         assert!(said.contains(field) && said.lines().count() == 1, "{field}: {said}");
     }
 }
+
+#[test]
+fn a_new_configuration_moves_the_watch_before_the_old_one_is_dropped() {
+    // SIGHUP used to end the program, and with it all jobs in hand.
+    let (first, second) = (Server::start(), Server::start());
+    let (node, old, _discovery) = Node::with(&[("s-1", &first)]);
+    let client = write(node.address, &job("r1", "view", 9.0, ""));
+    first.next().answer("202 Accepted");
+    for _ in 0..2 {
+        node.reload("{");
+        assert!(node.says().contains("config: "), "a bad file changes nothing");
+        node.reload(&config(first.address, &[]).replace(r#""discovery":"127"#, r#""discovery":"x"#));
+        assert!(node.says().contains("config: discovery: "));
+    }
+    // The new discovery hangs; the old one still tells of a change, and of its end.
+    let (hangs, moved) = (Server::start(), Server::start());
+    node.reload(&config(hangs.address, &[]));
+    hangs.request();
+    let all = [endpoint("s-1", first.address, "terminating"), endpoint("s-2", second.address, "in_service")];
+    old.line(&list(43, false, &all[..1]));
+    while node.count("curlewusher_transport_map_changes_total") < 3 {}
+    // Another one comes while that hangs. It counts in its own way, so that the whole list is asked for.
+    node.reload(&config(moved.address, &[]));
+    let watch = Watch::open(&moved);
+    assert_eq!(watch.since(), "0");
+    watch.line(&list(7, true, &all));
+    let late = write(node.address, &job("r2", "view", 9.0, ""));
+    second.next().answer("202 Accepted");
+    node.tell("r1", "s-1", r#""state":"done","result":"x""#);
+    node.tell("r2", "s-2", r#""state":"done","result":"y""#);
+    assert_eq!((answer(client).body, answer(late).body), ("x".into(), "y".into()));
+    watch.end();
+    assert_eq!(Watch::open(&moved).since(), "7");
+    node.signal("-TERM");
+    node.signal("-HUP");
+    assert!(node.end().status.success());
+}
