Read each head below hyper, cut what does not come in time, end bad clients' connections

Checked: hyper's parser (proto/h1/role.rs) drops Content-Length when Transfer-Encoding is there, so the service cannot see both; the head time-out was 60 s, BODY_TIME 10 s; close_longest_idle counted a half-read request as idle. Ruled out: closing only connections that brought nothing. Changed: Inlet reads each head with httparse, refuses conflicting lengths, bounds the head and hands hyper a message at a time; Caller has named stages with limits of 2 s; places are freed by what is missed least; malformed requests end their connection; repeated headers and impossible slots, hints and deadlines are 400; jobs in hand are bounded. Tests: the four that fail without the change are malformed, chunked_body, who_says_nothing and more_connections.

--- a/node/src/counters.rs
+++ b/node/src/counters.rs
@@ -19,6 +19,8 @@
 counters! {
     Taken, "curlewusher_jobs_taken_total", "Jobs taken from clients.";
     Rejected, "curlewusher_requests_rejected_total", "Requests turned away as malformed.";
+    Crowded, "curlewusher_requests_crowded_out_total", "Requests deferred because too many jobs were in hand.";
+    Cut, "curlewusher_connections_cut_total", "Connections closed because nothing whole came on them in time.";
     ClientsGone, "curlewusher_clients_gone_total", "Clients that left before their answer.";
     Sent, "curlewusher_delivery_attempts_total", "Delivery attempts begun.";
     Accepted, "curlewusher_delivery_attempts_accepted_total", "Delivery attempts that a next hop took on.";
--- a/node/src/sender_side.rs
+++ b/node/src/sender_side.rs
@@ -5,13 +5,14 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use curlewusher::{ClassId, Effect};
 use curlewusher_settings::Site;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -19,10 +20,11 @@
 use hyper::header::{ALLOW, CONNECTION, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use serde::Deserialize;
 use serde_json::value::RawValue;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::OwnedPermit;
 use tokio::sync::{Notify, Semaphore, oneshot};
@@ -43,27 +45,240 @@
 const LONGEST_ID: usize = 128;
 /// No client waits for longer, s.
 const LONGEST_WAIT: f64 = 86_400.0;
-/// A body that takes longer than this to come is given up.
-const BODY_TIME: Duration = Duration::from_secs(10);
-/// A connection on which no request comes for so long is closed.
+/// No head is longer; hyper buffers no more than this either.
+const LONGEST_HEAD: usize = 16 << 10;
+/// A connection's first head, and the rest of any request that has begun, come within this. What cannot be read
+/// is owed an answer or a close within 3 s.
+const READ_TIME: Duration = Duration::from_millis(2000);
+/// A body comes within this, which leaves time to say so.
+const BODY_TIME: Duration = Duration::from_millis(1800);
+/// A connection between requests is closed after this.
 const IDLE_TIME: Duration = Duration::from_secs(60);
+/// How often connections are looked through for those that have used up their time.
+const LOOK: Duration = Duration::from_millis(100);
+/// With all places for jobs taken a client is to come back after this.
+const CROWDED: Duration = Duration::from_millis(500);
+/// The most slots that a job can ask for.
+const MOST_SLOTS: f64 = 64.0;
 const BACKLOG: u32 = 1024;
 /// Out of descriptors, accepting is tried again after this.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-/// A connection is not taken to be idle before this.
+/// So many places are kept free for the next ones.
+const SPARE: usize = 4;
+/// A connection makes way for others no sooner than this after it came, was last answered, or began a request.
+const YOUNG: Duration = Duration::from_millis(50);
 const SETTLED: Duration = Duration::from_millis(200);
+const SLOW: Duration = Duration::from_millis(500);
 /// Answers must be written and connections closed within this at the end.
 const CLOSE_TIME: Duration = Duration::from_millis(1000);
 
 type Reply = Response<Full<Bytes>>;
 
+/// Where a connection stands, in the order in which those make way for others when descriptors run low.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    /// Nothing has come on it.
+    New,
+    /// A request has begun and is not read to its end.
+    Reading,
+    /// Between requests.
+    Idle,
+    /// A request was read and is not answered.
+    Busy,
+}
+
 /// A connection that was accepted.
 struct Caller {
-    busy: Cell<bool>,
+    stage: Cell<Stage>,
+    /// When it came to that stage.
+    since: Cell<Instant>,
     /// Next hops' connections stay open while this node drains: it waits for what they have to say.
     next_hop: Cell<bool>,
-    since: Cell<Instant>,
+    /// What it is sending has used up its time, or must make way.
+    cut: Cell<bool>,
+    /// No end of its request is known below hyper: it carries no other.
+    last: Cell<bool>,
+    /// Its connection is to look at `cut`, or where that is not set to close when it next can.
     close: Notify,
+    /// Who waits to read what follows a request that is being answered.
+    follows: RefCell<Option<Waker>>,
+}
+
+impl Caller {
+    fn enter(&self, stage: Stage) {
+        self.stage.set(stage);
+        self.since.set(Instant::now());
+        if let Some(waker) = self.follows.take() {
+            waker.wake();
+        }
+    }
+
+    /// Closes it for good order: between requests that does no harm.
+    fn end(&self) {
+        self.cut.set(self.stage.get() < Stage::Idle);
+        self.close.notify_one();
+    }
+
+    /// Whether its time is up.
+    fn overdue(&self) -> bool {
+        let most = match self.stage.get() {
+            Stage::New | Stage::Reading => READ_TIME,
+            Stage::Idle => IDLE_TIME,
+            Stage::Busy => return false,
+        };
+        self.since.get().elapsed() >= most
+    }
+
+    /// Whether it can make way. A young one may have sent a request that was not read yet.
+    fn can_yield(&self) -> bool {
+        let least = match self.stage.get() {
+            Stage::New => YOUNG,
+            Stage::Reading => SLOW,
+            Stage::Idle => SETTLED,
+            Stage::Busy => return false,
+        };
+        self.since.get().elapsed() >= least
+    }
+}
+
+/// What comes on a connection, on its way to hyper. Each head is read here first: hyper takes a request that
+/// carries both lengths for a chunked one and drops the other length, by which another server may see a second
+/// request in it.
+struct Inlet {
+    stream: TcpStream,
+    caller: Rc<Caller>,
+    held: BytesMut,
+    /// So much may be handed on: a head that was read, and its body.
+    pass: u64,
+    counters: Counters,
+}
+
+impl Inlet {
+    /// What hyper is given instead of something that must not be served: it answers 400 and closes.
+    const REFUSED: &[u8] = b"REFUSED\r\n\r\n";
+
+    fn refuse(&mut self) {
+        self.counters.add(Counter::Rejected);
+        self.held.clear();
+        self.held.extend_from_slice(Self::REFUSED);
+        self.pass = u64::MAX;
+    }
+
+    /// Looks at the head that is held, as far as it has come.
+    fn judge(&mut self) {
+        let mut headers = [httparse::EMPTY_HEADER; 100];
+        let mut head = httparse::Request::new(&mut headers);
+        let end = match head.parse(&self.held) {
+            Ok(httparse::Status::Complete(end)) => end as u64,
+            Ok(httparse::Status::Partial) if self.held.len() <= LONGEST_HEAD => return,
+            // hyper says better what is wrong with it; nothing after it is read.
+            Ok(httparse::Status::Partial) | Err(_) => {
+                self.counters.add(Counter::Rejected);
+                return self.pass = u64::MAX;
+            }
+        };
+        let all = |name: &'static str| head.headers.iter().filter(move |h| h.name.eq_ignore_ascii_case(name));
+        let chunked = all("transfer-encoding").next().is_some();
+        let length = |h: &httparse::Header| {
+            let digits = !h.value.is_empty() && h.value.iter().all(u8::is_ascii_digit);
+            std::str::from_utf8(h.value).ok().filter(|_| digits)?.parse::<u64>().ok()
+        };
+        let mut lengths = all("content-length").map(length);
+        match (lengths.next(), lengths.next(), chunked) {
+            (None, _, false) => self.pass = end,
+            (Some(Some(length)), None, false) => self.pass = end.saturating_add(length),
+            (None, _, true) => {
+                // The end of a chunked body is known to hyper alone.
+                self.caller.last.set(true);
+                self.pass = u64::MAX;
+            }
+            _ => self.refuse(),
+        }
+    }
+
+    /// Whether something has come that was not read.
+    fn unread(&self) -> bool {
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        !socket2::SockRef::from(&self.stream)
+            .peek(&mut byte)
+            .is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+impl AsyncRead for Inlet {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        loop {
+            if this.pass > 0 && !this.held.is_empty() {
+                let most = usize::try_from(this.pass).unwrap_or(usize::MAX);
+                let part = this.held.split_to(most.min(this.held.len()).min(out.remaining()));
+                out.put_slice(&part);
+                this.pass = if this.pass == u64::MAX { this.pass } else { this.pass - part.len() as u64 };
+                return Poll::Ready(Ok(()));
+            }
+            let busy = this.caller.stage.get() == Stage::Busy;
+            if this.pass == 0 && !this.held.is_empty() {
+                // hyper takes it that only the socket can wake what is pending here.
+                this.caller.follows.replace(Some(cx.waker().clone()));
+                if busy {
+                    // It is looked at once the request before it is answered.
+                    return Poll::Pending;
+                }
+                if this.caller.stage.get() != Stage::Reading {
+                    this.caller.enter(Stage::Reading);
+                }
+                this.judge();
+                if this.pass > 0 {
+                    continue;
+                }
+            }
+            if this.caller.cut.get() && !busy {
+                // A request that has come is served, however late it is read here.
+                this.caller.cut.set(false);
+                if this.caller.stage.get() != Stage::New || !this.unread() {
+                    this.counters.add(Counter::Cut);
+                    if this.pass > 0 || this.held.is_empty() {
+                        return Poll::Ready(Ok(()));
+                    }
+                    this.refuse();
+                    continue;
+                }
+            }
+            let mut room = [std::mem::MaybeUninit::uninit(); 4096];
+            let mut part = ReadBuf::uninit(&mut room);
+            ready!(Pin::new(&mut this.stream).poll_read(cx, &mut part))?;
+            if part.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+            this.held.extend_from_slice(part.filled());
+        }
+    }
+}
+
+impl AsyncWrite for Inlet {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
 }
 
 struct Shared {
@@ -75,8 +290,9 @@
     counters: Counters,
     callers: RefCell<Vec<Weak<Caller>>>,
     room: std::sync::Arc<Semaphore>,
-    /// Jobs taken and not yet answered.
+    /// Jobs taken and not yet answered, and the most of them: others must find room for what they have to say.
     open: Cell<usize>,
+    most_open: usize,
     answered: Notify,
 }
 
@@ -167,18 +383,32 @@
 /// A request that is no job or call-back in good form: the status, and why.
 type Malformed = (StatusCode, String);
 
+fn deferred(after: Duration) -> Reply {
+    let mut reply = reply(StatusCode::SERVICE_UNAVAILABLE, "deferred: come again later\n");
+    if let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64())) {
+        reply.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    reply
+}
+
 fn bad(why: impl Into<String>) -> Malformed {
     (StatusCode::BAD_REQUEST, why.into())
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, Malformed> {
     let read = |v: &'a HeaderValue| v.to_str().map_err(|_| bad(format!("header {name} is malformed")));
-    headers.get(name).map(read).transpose()
+    let mut values = headers.get_all(name).into_iter();
+    match (values.next(), values.next()) {
+        // Another server might go by the other one.
+        (_, Some(_)) => Err(bad(format!("header {name} is repeated"))),
+        (value, None) => value.map(read).transpose(),
+    }
 }
 
-fn number(headers: &HeaderMap, name: &HeaderName) -> Result<Option<f64>, Malformed> {
+/// A figure from nought to `most`.
+fn number(headers: &HeaderMap, name: &HeaderName, most: f64) -> Result<Option<f64>, Malformed> {
     let malformed = || bad(format!("header {name} is malformed"));
-    let read = |v: &str| v.parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0).ok_or_else(malformed);
+    let read = |v: &str| v.parse::<f64>().ok().filter(|v| (0.0..=most).contains(v)).ok_or_else(malformed);
     text(headers, name)?.map(read).transpose()
 }
 
@@ -187,7 +417,8 @@
     let Some(extras) = text(headers, &X_EXTRAS)? else { return Ok(None) };
     let mut found = None;
     for pair in extras.split(',').map(str::trim).filter(|pair| !pair.is_empty()) {
-        let parsed = pair.split_once('=').and_then(|(name, v)| Some((name, v.parse::<f64>().ok()?)));
+        let figure_of = |v: &str| v.parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0);
+        let parsed = pair.split_once('=').and_then(|(name, v)| Some((name, figure_of(v)?)));
         let (name, value) = parsed.ok_or_else(|| bad("header x-extras is malformed"))?;
         if name == figure {
             found = Some(value);
@@ -202,20 +433,6 @@
     !id.is_empty() && id.len() <= LONGEST_ID && id.bytes().all(good) && id != "." && id != ".."
 }
 
-async fn body(request: Incoming) -> Result<Bytes, Malformed> {
-    if request.size_hint().lower() > LONGEST_BODY as u64 {
-        return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB".into()));
-    }
-    match timeout(BODY_TIME, Limited::new(request, LONGEST_BODY).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB".into()))
-        }
-        Ok(Err(e)) => Err(bad(format!("the body cannot be read: {e}"))),
-        Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time".into())),
-    }
-}
-
 impl SenderSide {
     pub fn new(
         queue: Queue<Parcel>,
@@ -235,6 +452,7 @@
             callers: RefCell::default(),
             room: std::sync::Arc::new(Semaphore::new(most)),
             open: Cell::new(0),
+            most_open: most * 3 / 4,
             answered: Notify::new(),
         });
         SenderSide { shared, caller: None }
@@ -248,14 +466,23 @@
         socket.listen(BACKLOG)
     }
 
-    /// Takes connections, as many as there are descriptors for. When those run low, the one that has been
-    /// idle for longest is closed: between requests that does no harm.
+    /// Takes connections, as many as there are descriptors for, and closes those whose time is up.
     pub async fn accept(self, listener: TcpListener) {
+        let look = async {
+            loop {
+                sleep(LOOK).await;
+                self.callers().iter().filter(|caller| caller.overdue()).for_each(|caller| caller.end());
+            }
+        };
+        tokio::join!(self.take_connections(listener), look);
+    }
+
+    async fn take_connections(&self, listener: TcpListener) {
         loop {
             // All may be busy now and idle later: one such look is not enough, or nothing is accepted again.
             let room = loop {
-                if self.shared.room.available_permits() <= 1 {
-                    self.close_longest_idle();
+                if self.shared.room.available_permits() <= SPARE {
+                    self.make_way();
                 }
                 if let Ok(room) = timeout(ACCEPT_PAUSE, self.shared.room.clone().acquire_owned()).await {
                     break room;
@@ -266,10 +493,13 @@
                     // It is known as a caller from here on, not from when its task first runs: a burst is
                     // accepted before that, and would fill all places with connections that none can close.
                     let caller = Rc::new(Caller {
-                        busy: Cell::new(false),
-                        next_hop: Cell::new(false),
+                        stage: Cell::new(Stage::New),
                         since: Cell::new(Instant::now()),
+                        next_hop: Cell::new(false),
+                        cut: Cell::new(false),
+                        last: Cell::new(false),
                         close: Notify::new(),
+                        follows: RefCell::default(),
                     });
                     self.shared.callers.borrow_mut().push(Rc::downgrade(&caller));
                     let serve =
@@ -282,7 +512,7 @@
                 Err(_) => {
                     // Out of descriptors, or a client that left at once: neither may end the listening.
                     self.shared.counters.add(Counter::AcceptFailures);
-                    self.close_longest_idle();
+                    self.make_way();
                     sleep(ACCEPT_PAUSE).await;
                 }
             }
@@ -295,15 +525,21 @@
         callers.iter().filter_map(Weak::upgrade).collect()
     }
 
-    fn close_longest_idle(&self) {
-        let idle = self.callers().into_iter().filter(|caller| {
-            // On a young one a request may have come that was not read yet.
-            !caller.busy.get() && caller.since.get().elapsed() >= SETTLED
-        });
-        if let Some(caller) = idle.min_by_key(|caller| caller.since.get()) {
+    /// Closes the connection that is missed least: one that has brought nothing, before one that is slow to
+    /// bring it, before a client's that is idle, before a next hop's. Of those the one that has stood longest.
+    fn make_way(&self) {
+        let callers = self.callers();
+        let new = callers.iter().filter(|caller| caller.stage.get() == Stage::New).count();
+        // Among many that have brought nothing, one is about to be old enough.
+        let waits = |caller: &Caller| caller.stage.get() == Stage::Idle && new > callers.len() / 4;
+        let least = callers
+            .iter()
+            .filter(|caller| caller.can_yield() && !waits(caller))
+            .min_by_key(|caller| (caller.next_hop.get(), caller.stage.get(), caller.since.get()));
+        if let Some(caller) = least {
+            caller.end();
             // It is not chosen twice.
             caller.since.set(Instant::now());
-            caller.close.notify_one();
         }
     }
 
@@ -311,16 +547,27 @@
         // Without it an answer could wait for the far end's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
         let Some(caller) = self.caller.clone() else { return };
+        let inlet = Inlet {
+            stream,
+            caller: caller.clone(),
+            held: BytesMut::new(),
+            pass: 0,
+            counters: self.shared.counters.clone(),
+        };
         let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(IDLE_TIME)
-            .serve_connection(TokioIo::new(stream), TowerToHyperService::new(self));
+            // Times are kept by `Caller`: a head's begins with its first byte.
+            .header_read_timeout(None)
+            .max_buf_size(LONGEST_HEAD)
+            .serve_connection(TokioIo::new(inlet), TowerToHyperService::new(self));
         let mut connection = pin!(connection);
         loop {
             tokio::select! {
                 // How it ended makes no difference here: a job that it carried says so by its drop.
                 _ = connection.as_mut() => return,
-                () = caller.close.notified() => connection.as_mut().graceful_shutdown(),
+                // One that is cut ends by what the inlet then says, when it is next polled.
+                () = caller.close.notified() => if !caller.cut.get() {
+                    connection.as_mut().graceful_shutdown();
+                }
             }
         }
     }
@@ -330,8 +577,8 @@
         loop {
             let answered = self.shared.answered.notified();
             for caller in self.callers() {
-                if !caller.busy.get() && !caller.next_hop.get() {
-                    caller.close.notify_one();
+                if caller.stage.get() != Stage::Busy && !caller.next_hop.get() {
+                    caller.end();
                 }
             }
             if self.shared.open.get() == 0 {
@@ -349,7 +596,7 @@
                 if callers.is_empty() {
                     return;
                 }
-                callers.iter().for_each(|caller| caller.close.notify_one());
+                callers.iter().for_each(|caller| caller.end());
                 drop(callers);
                 sleep(Duration::from_millis(5)).await;
             }
@@ -359,9 +606,6 @@
     }
 
     async fn respond(self, request: Request<Incoming>) -> Reply {
-        if let Some(caller) = &self.caller {
-            caller.busy.set(true);
-        }
         let shared = self.shared.clone();
         let mut reply = match (request.method(), request.uri().path()) {
             (&Method::POST, "/callback") => self.callback(request).await,
@@ -397,12 +641,15 @@
         }
         .unwrap_or_else(|(status, why)| {
             shared.counters.add(Counter::Rejected);
-            reply(status, why + "\n")
+            let mut reply = reply(status, why + "\n");
+            // Who sends what cannot be used holds no place here.
+            reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            reply
         });
         if let Some(caller) = &self.caller {
-            caller.busy.set(false);
-            caller.since.set(Instant::now());
-            if shared.lifecycle.phase() >= Phase::Draining && !caller.next_hop.get() {
+            caller.enter(Stage::Idle);
+            let drains = shared.lifecycle.phase() >= Phase::Draining && !caller.next_hop.get();
+            if drains || caller.last.get() {
                 // The client is to go on elsewhere.
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -410,11 +657,31 @@
         reply
     }
 
+    /// Reads a body to its end: then the request counts as taken.
+    async fn body(&self, request: Incoming) -> Result<Bytes, Malformed> {
+        if request.size_hint().lower() > LONGEST_BODY as u64 {
+            return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB".into()));
+        }
+        match timeout(BODY_TIME, Limited::new(request, LONGEST_BODY).collect()).await {
+            Ok(Ok(body)) => {
+                if let Some(caller) = &self.caller {
+                    caller.enter(Stage::Busy);
+                }
+                Ok(body.to_bytes())
+            }
+            Ok(Err(e)) if e.is::<LengthLimitError>() => {
+                Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB".into()))
+            }
+            Ok(Err(e)) => Err(bad(format!("the body cannot be read: {e}"))),
+            Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time".into())),
+        }
+    }
+
     async fn callback(&self, request: Request<Incoming>) -> Result<Reply, Malformed> {
         if let Some(caller) = &self.caller {
             caller.next_hop.set(true);
         }
-        let body = body(request.into_body()).await?;
+        let body = self.body(request.into_body()).await?;
         let (id, from, word) = Callback::read(&body).map_err(bad)?;
         if self.shared.queue.send(Notice::Told { id, from, word }).await.is_err() {
             return Err((StatusCode::SERVICE_UNAVAILABLE, "this node has ended".into()));
@@ -434,13 +701,18 @@
         let class = text(headers, &X_CLASS)?.ok_or_else(|| bad("header x-class is missing"))?;
         let place = shared.classes.iter().position(|(name, _)| name == class);
         let place = place.ok_or_else(|| bad(format!("header x-class names no class: {class}")))?;
+        text(headers, &IDEMPOTENCY_KEY)?;
         let key = headers.get(IDEMPOTENCY_KEY).cloned();
         if shared.classes[place].1 && key.is_none() {
             return Err(bad("header idempotency-key is missing"));
         }
-        let wait = number(headers, &X_DEADLINE)?.ok_or_else(|| bad("header x-deadline is missing"))?;
-        let hint = number(headers, &X_COST_HINT)?.map(|us| us / 1e6);
+        let wait =
+            number(headers, &X_DEADLINE, LONGEST_WAIT)?.ok_or_else(|| bad("header x-deadline is missing"))?;
+        let hint = number(headers, &X_COST_HINT, LONGEST_WAIT * 1e6)?.map(|us| us / 1e6);
         let slots = extra(headers, "slots")?.unwrap_or(1.0);
+        if !(1.0..=MOST_SLOTS).contains(&slots) {
+            return Err(bad("header x-extras asks for an impossible number of slots"));
+        }
         let repeat = text(headers, &X_RETRY)? == Some("1");
         let (parts, incoming) = request.into_parts();
         let parcel = Parcel {
@@ -449,9 +721,13 @@
             id: parts.headers[X_REQUEST_ID].clone(),
             key,
             content_type: parts.headers.get(CONTENT_TYPE).cloned(),
-            body: body(incoming).await?,
+            body: self.body(incoming).await?,
         };
 
+        if shared.open.get() >= shared.most_open {
+            shared.counters.add(Counter::Crowded);
+            return Ok(deferred(CROWDED));
+        }
         let ended = || (StatusCode::BAD_GATEWAY, "this node has ended".to_owned());
         let ticket = Ticket::default();
         let place_for_gone = shared.queue.clone().reserve_owned().await.map_err(|_| ended())?;
@@ -461,7 +737,7 @@
         let taken = Taken {
             id,
             class: ClassId(place),
-            deadline: came + (wait.min(LONGEST_WAIT) * 1e6) as u64,
+            deadline: came + (wait * 1e6) as u64,
             hint,
             slots,
             repeat,
@@ -474,14 +750,7 @@
         open.gone = None;
         Ok(match answer {
             Answer::Served(result) => reply(StatusCode::OK, result),
-            Answer::Defer { after } => {
-                let mut reply = reply(StatusCode::SERVICE_UNAVAILABLE, "deferred: come again later\n");
-                let seconds = format!("{:.3}", after.as_secs_f64());
-                if let Ok(seconds) = HeaderValue::from_str(&seconds) {
-                    reply.headers_mut().insert(RETRY_AFTER, seconds);
-                }
-                reply
-            }
+            Answer::Defer { after } => deferred(after),
             Answer::Failed => reply(StatusCode::BAD_GATEWAY, "failed: it may have run\n"),
             Answer::Duplicate => {
                 return Err((StatusCode::CONFLICT, "a job of this x-request-id is in hand".into()));
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -28,7 +28,7 @@
         self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status")
     }
 
-    fn read(from: &mut impl BufRead) -> Option<Message> {
+    pub fn read(from: &mut impl BufRead) -> Option<Message> {
         let mut line = || {
             let mut line = String::new();
             (from.read_line(&mut line).ok()? > 0).then(|| line.trim_end().to_owned())
--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::TcpListener;
 
 use common::*;
@@ -191,7 +191,8 @@
 fn what_is_malformed_gets_a_plain_answer_and_goes_no_further() {
     let hop = Server::start();
     let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
-    let good = job("r1", "view", 5.0, "");
+    let with = |more: &str| job("r1", "view", 5.0, more);
+    let good = with("");
     let cases = [
         (good.replace("X-Request-Id: r1\r\n", ""), 400),
         (good.replace("X-Request-Id: r1", "X-Request-Id: a/b"), 400),
@@ -201,7 +202,23 @@
         (good.replace("X-Deadline: 5\r\n", ""), 400),
         (good.replace("X-Deadline: 5", "X-Deadline: -1"), 400),
         (good.replace("X-Cost-Hint: 100000", "X-Cost-Hint: much"), 400),
-        (good.replace("Content-Length: 4", "X-Extras: slots\r\nContent-Length: 4"), 400),
+        (good.replace("X-Deadline: 5", "X-Deadline: 1e300"), 400),
+        (good.replace("X-Cost-Hint: 100000", "X-Cost-Hint: inf"), 400),
+        (good.replace("X-Cost-Hint: 100000", "X-Cost-Hint: 1e300"), 400),
+        (with("X-Extras: slots\r\n"), 400),
+        (with("X-Extras: slots=-1\r\n"), 400),
+        (with("X-Extras: slots=inf\r\n"), 400),
+        (with("X-Extras: slots=1e9\r\n"), 400),
+        (with("X-Request-Id: r2\r\n"), 400),
+        (with("X-Class: order\r\n"), 400),
+        (with("X-Deadline: 9\r\n"), 400),
+        // Another server could find a second request in what this one takes for a body, or the reverse.
+        (with("Transfer-Encoding: chunked\r\n"), 400),
+        (good.replace("\r\n\r\nbody", "\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"), 400),
+        (with("Content-Length: 4\r\n"), 400),
+        (good.replace("Content-Length: 4", "Content-Length: -4"), 400),
+        (good.replace("Content-Length: 4", "Content-Length: 99999999999999999999"), 400),
+        (with(&format!("X-Long: {}\r\n", "a".repeat(20_000))), 431),
         (good.replace("/api/k1", "/elsewhere"), 404),
         (good.replace("POST", "GET"), 405),
         (good.replace("Content-Length: 4", "Content-Length: 65537"), 413),
@@ -210,10 +227,56 @@
     for (request, status) in cases {
         assert_eq!(ask(node.address, &request).status(), status, "{request}");
     }
+    // So is a head that follows a good request on one connection.
+    let chunked = with("Transfer-Encoding: chunked\r\n");
+    let mut stream = write(node.address, &format!("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n{chunked}"));
+    let mut both = String::new();
+    stream.read_to_string(&mut both).expect("it closes");
+    assert!(both.starts_with("HTTP/1.1 200") && both.contains("HTTP/1.1 400"), "{both}");
     assert!(!hop.has_more());
     assert_eq!(node.count("curlewusher_jobs_taken_total"), 0);
 }
 
+#[test]
+fn a_chunked_body_is_delivered_with_its_length() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let chunked = "Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n";
+    let request = job("r1", "view", 5.0, "").replace("Content-Length: 4\r\n\r\nbody", chunked);
+    let client = write(node.address, &request);
+    let got = hop.next();
+    assert_eq!((got.message.body.as_str(), got.message.header("content-length")), ("body", Some("4")));
+    got.answer("202 Accepted");
+    node.tell("r1", "s-1", r#""state":"done","result":"x""#);
+    assert_eq!(answer(client).header("connection"), Some("close"));
+}
+
+#[test]
+fn who_says_nothing_or_half_a_request_is_cut_and_an_idle_client_is_not() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let ready = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
+    let mut idle = write(node.address, ready);
+    let starts = ["", "POST /api/k1 HTT", "POST /api/k1 HTTP/1.1\r\nX-Request-Id: r", ready];
+    let half_body = job("r1", "view", 5.0, "").replace("Content-Length: 4", "Content-Length: 9");
+    let cut: Vec<_> =
+        starts.iter().map(|s| write(node.address, s)).chain([write(node.address, &half_body)]).collect();
+    // The half of a second request on a connection that was good before.
+    (&cut[3]).write_all(b"POST /api").expect("it reads");
+    for (mut stream, owed) in cut.into_iter().zip(["", "400", "400", "200", "408"]) {
+        let mut said = String::new();
+        let got = stream.read_to_string(&mut said);
+        assert!(got.is_ok(), "{owed:?}: {said} {got:?}");
+        assert_eq!(said.split(' ').nth(1).unwrap_or(""), owed, "{said}");
+    }
+    idle.write_all(ready.as_bytes()).expect("it is open");
+    let mut read = std::io::BufReader::new(idle);
+    for _ in 0..2 {
+        assert_eq!(Message::read(&mut read).expect("an answer").status(), 200);
+    }
+    assert!(!hop.has_more());
+}
+
 #[test]
 fn a_drain_is_heeded_and_a_broken_watch_goes_on_where_it_ended() {
     let (first, second) = (Server::start(), Server::start());
@@ -257,7 +320,8 @@
     let config = config(discovery.address, &[endpoint("s-1", hop.address, "in_service")]);
     // By its own count it closes idle connections in time, and keeps descriptors for next hops.
     let node = Node::start(&config.replace("1024", "64"));
-    let crowd: Vec<_> = (0..100).map(|_| write(node.address, "")).collect();
+    // Half a request is no idle connection, and holds its place no longer than a silent one.
+    let crowd: Vec<_> = (0..100).map(|i| write(node.address, ["", "POST /api"][i % 2])).collect();
     let client = write(node.address, &job("r1", "view", 9.0, ""));
     hop.request().answer("202 Accepted");
     node.tell("r1", "s-1", r#""state":"done","result":"x""#);
