Count in x the fetch of a job's key where the worker may not hold it

Offer carried no key, so Dispatcher::promise priced a worker that holds the data like one that must fetch it, and learned speeds mixed both. Changed: Offer has the key (affinity on the wire, the path's last part on sockets); Dispatcher::fetch adds the likely fetch to x; a Flight's work is the expected run, so that w and the learned speed hold it as well. A hash names a key's home, so that nodes which tell each other nothing agree. Group constants moved to the ledger. Tests: a_job_goes_where_its_key_was_sent_last and nodes_that_tell_each_other_nothing_send_a_key_to_the_same_worker fail with FETCH at 0.

--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -201,6 +201,7 @@
                     deadline: f.need("dropDeadUs")?,
                     hint: f.optional::<f64>("workUs")?.map(|us| us / 1e6),
                     slots: f.or("coresNeeded", 1.0)?,
+                    key: f.optional("affinity")?,
                     repeat: f.or("retry", 0u8)? == 1,
                 };
                 instance.tell(now, Event::Offered(offer));
--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -62,6 +62,8 @@
     pub deadline: Micros,
     pub hint: Option<f64>,
     pub slots: f64,
+    /// What it concerns, as a number that is the same at every node.
+    pub key: Option<u64>,
     pub repeat: bool,
     /// What is to be delivered; the dispatch task never looks into it.
     pub parcel: P,
@@ -305,6 +307,7 @@
             deadline: taken.deadline,
             hint: taken.hint,
             slots: taken.slots,
+            key: taken.key,
             repeat: taken.repeat,
         }));
     }
--- a/node/src/sender_side.rs
+++ b/node/src/sender_side.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use curlewusher::{ClassId, Effect};
+use curlewusher::{ClassId, Effect, number_of};
 use curlewusher_settings::Site;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -714,6 +714,7 @@
             return Err(bad("header x-extras asks for an impossible number of slots"));
         }
         let repeat = text(headers, &X_RETRY)? == Some("1");
+        let subject = number_of(request.uri().path().rsplit('/').next().unwrap_or_default());
         let (parts, incoming) = request.into_parts();
         let parcel = Parcel {
             method: parts.method,
@@ -740,6 +741,7 @@
             deadline: came + (wait * 1e6) as u64,
             hint,
             slots,
+            key: Some(subject),
             repeat,
             parcel,
             ticket,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,10 +8,15 @@
 use crate::dispatcher::Dispatcher;
 use crate::interface::*;
 use crate::ledger::*;
-use crate::peers;
 
 /// Work of a job that came without a hint, s. Any fixed figure serves: speeds are learned against it.
-const UNHINTED_WORK: f64 = 0.1;
+pub(crate) const UNHINTED_WORK: f64 = 0.1;
+/// A fetch takes this many usual jobs' time. How surely a key that was just sent to a worker is there, after how
+/// many others it is not, and how surely one is at its home.
+const FETCH: f64 = 1.0;
+const KEPT: f64 = 0.9;
+const KEPT_KEYS: f64 = 6.0;
+const HOME: f64 = 0.6;
 /// Utilisation counts no higher than this: beyond it 1/(1-r) would drown x.
 pub(crate) const R_MAX: f64 = 0.9;
 /// Span over which the rate of work sent is averaged, s.
@@ -71,11 +76,8 @@
 /// Own backlogs are told no more often than this, and again after the other.
 pub(crate) const TELL_GAP: Micros = 2_000;
 pub(crate) const TELL_AGAIN: f64 = 0.5;
-/// Fewest nodes and workers of a group.
-const GROUP_NODES: u32 = 8;
-pub(crate) const GROUP_WORKERS: usize = 8;
 /// Nothing is told where an entry told to all nodes costs more than this share of a job's worth.
-const TELL_MOST: f64 = 0.004;
+pub(crate) const TELL_MOST: f64 = 0.004;
 /// What others told counts this long, s.
 const TOLD_LIFE: f64 = 1.5;
 /// Of the slots that others told, so many are reckoned with at most.
@@ -120,12 +122,6 @@
     wait: f64,
 }
 
-/// Many nodes with many workers part into groups, each of which does with few workers what a small deployment
-/// does: it knows them, and can afford to tell its nodes' work.
-pub(crate) fn most_groups(settings: &Settings) -> usize {
-    (settings.nodes / GROUP_NODES).max(1) as usize
-}
-
 impl Dispatcher {
     // ---- the choice -------------------------------------------------------------------------------------
 
@@ -136,7 +132,8 @@
 
     /// One of this node's own workers, or, when none of those may take the job, one of as many others. No
     /// sooner: their work is not known, and in overload many nodes would flood the few that look best.
-    fn choose(&mut self, now: Micros, job: &Job) -> Option<Promise> {
+    fn choose(&mut self, now: Micros, job: &mut Job) -> Option<Promise> {
+        job.home = self.fleet.home(job.key);
         let mut looked = std::mem::take(&mut self.looked);
         looked.clone_from(&self.fleet.near);
         let mut best = self.cheapest(now, job, &looked);
@@ -199,7 +196,16 @@
     fn promise(&self, now: Micros, index: usize, job: &Job) -> Promise {
         let w = &self.fleet.workers[index];
         let wait = if job.slots > 1.0 { self.wait(now, w, job.slots) } else { w.wait };
-        Promise { index, rank: w.rank, run: job.work / w.speed, wait }
+        Promise { index, rank: w.rank, run: job.work / w.speed + self.fetch(w, job), wait }
+    }
+
+    /// Seconds that a job is expected to spend at a worker on fetching what it concerns: little where this
+    /// node has just sent the same, less where all nodes send it first, all of it elsewhere.
+    fn fetch(&self, w: &Worker, job: &Job) -> f64 {
+        let Some(key) = job.key else { return 0.0 };
+        let own = w.keys_since(key).map_or(0.0, |others| KEPT * (1.0 - others as f64 / KEPT_KEYS).max(0.0));
+        let home = if job.home == Some(w.id) { HOME } else { 0.0 };
+        FETCH * self.fleet.usual_work * (1.0 - own.max(home))
     }
 
     /// w: seconds that the unended work at a worker, own and told, keeps a job waiting there. With one slot
@@ -387,6 +393,7 @@
         if first && !job.over_quota {
             self.asked_for.add(now, job.load(), LOST_SPAN);
         }
+        self.fleet.usual_work += KIND_GAIN * (work - self.fleet.usual_work);
         self.hold(job);
         self.dispatch(now, out);
     }
@@ -430,7 +437,7 @@
                 self.line.remove(&place);
                 continue;
             };
-            match self.choose(now, &job) {
+            match self.choose(now, &mut job) {
                 Some(p) if self.timely(now, &job, p) => {
                     self.line.remove(&place);
                     self.send(now, &mut job, p, out);
@@ -466,7 +473,7 @@
     }
 
     fn send(&mut self, now: Micros, job: &mut Job, p: Promise, out: &mut Vec<Action>) {
-        self.record(now, job, p.index, p.wait);
+        self.record(now, job, p.index, p.run, p.wait);
         let worker = self.fleet.workers[p.index].id;
         out.push(Action::Send { job: job.id, worker, timeout: job.deadline - now });
         self.survey(now, p.index);
@@ -539,11 +546,10 @@
         if now + 2 * SWEEP >= job.deadline {
             // The client is about to stop waiting: an answer must be out before.
             self.answer(&mut job, out);
-        } else if idle && since(now, job.aim_at) < HOPELESS * self.sure_run(&job) {
-            // Overload: work that can no longer earn only delays work that can.
-            self.give_up(now, &mut job, out);
-        } else if !idle && self.doomed(now, &job) {
-            // A queue full of work that comes too late makes the work behind it late as well.
+        } else if idle && since(now, job.aim_at) < HOPELESS * self.sure_run(&job)
+            || !idle && self.doomed(now, &job)
+        {
+            // Overload: work that can no longer earn, here or in a worker's queue, only delays work that can.
             self.give_up(now, &mut job, out);
         } else if !idle {
             self.hedge(now, &mut job, out);
@@ -551,13 +557,6 @@
         self.keep(job);
     }
 
-    /// Whether nodes tell each other their work. With many of them a message is dear, costs all of them CPU,
-    /// and must be so rare that what it says is past.
-    pub(crate) fn tells(&self) -> bool {
-        let messages = f64::from(self.group_nodes() - 1) * peers::ENTRY as f64 / peers::MOST_BYTES as f64;
-        self.settings.may_tell && messages > 0.0 && self.settings.tell_price * messages <= TELL_MOST
-    }
-
     fn give_up(&mut self, now: Micros, job: &mut Job, out: &mut Vec<Action>) {
         if job.first && !job.over_quota {
             self.lost.add(now, job.load(), LOST_SPAN);
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -150,6 +150,13 @@
         self.group_nodes() == 1 || self.tells()
     }
 
+    /// Whether nodes tell each other their work. With many of them a message is dear, costs all of them CPU,
+    /// and must be so rare that what it says is past.
+    pub(crate) fn tells(&self) -> bool {
+        let messages = f64::from(self.group_nodes() - 1) * peers::ENTRY as f64 / peers::MOST_BYTES as f64;
+        self.settings.may_tell && messages > 0.0 && self.settings.tell_price * messages <= TELL_MOST
+    }
+
     /// Nodes that share this node's own workers.
     pub(crate) fn group_nodes(&self) -> u32 {
         self.settings.nodes.div_ceil(self.fleet.groups as u32)
@@ -258,7 +265,7 @@
     }
 
     /// Books an attempt that is being sent.
-    pub(crate) fn record(&mut self, now: Micros, job: &mut Job, index: usize, foreseen: f64) {
+    pub(crate) fn record(&mut self, now: Micros, job: &mut Job, index: usize, run: f64, foreseen: f64) {
         let span = secs(self.settings.fall_window) * COLD_STRETCH;
         let w = &mut self.fleet.workers[index];
         w.cold_sent.retain(|(at, _)| since(*at, now) < span);
@@ -269,10 +276,11 @@
         self.fleet.kinds[w.kind_at].sent.add(now, job.load(), R_SPAN);
         w.dirty = true;
         self.news = true;
+        job.key.into_iter().for_each(|key| w.heed_key(key));
         w.flights.push(Flight {
             job: job.id,
             attempt: job.attempts.len() as u32,
-            work: job.work,
+            work: run * w.speed,
             slots: job.slots,
             sent: now,
             foreseen,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -15,12 +15,18 @@
 pub struct WorkerId(pub u64);
 
 impl WorkerId {
-    /// FNV-1a of a worker's name: the same number for it at every node.
+    /// The same number for a worker at every node.
     pub fn of_name(name: &str) -> Self {
-        let mix = |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
-        WorkerId(name.bytes().fold(0xcbf2_9ce4_8422_2325, mix))
+        WorkerId(number_of(name))
     }
 }
+
+/// FNV-1a of a name: the same number for it at every node.
+pub fn number_of(name: &str) -> u64 {
+    let mix = |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, mix)
+}
+
 /// Place of a class in [`Settings::classes`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClassId(pub usize);
@@ -217,6 +223,8 @@
     pub hint: Option<f64>,
     /// Slots it takes.
     pub slots: f64,
+    /// What it concerns: a worker that has just had a job of the same key need not fetch that again.
+    pub key: Option<u64>,
     /// Its client marks it as a repeat.
     pub repeat: bool,
 }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -10,6 +10,18 @@
 /// Room for the attempts of one job; settings that allow more are cut to this.
 pub(crate) const MAX_ATTEMPTS: usize = 8;
 
+/// Fewest nodes and workers of a group.
+const GROUP_NODES: u32 = 8;
+const GROUP_WORKERS: usize = 8;
+/// So many keys of a worker are remembered.
+pub(crate) const KEYS_MOST: usize = 16;
+
+/// Many nodes with many workers part into groups, each of which does with few workers what a small deployment
+/// does: it knows them, and can afford to tell its nodes' work.
+fn most_groups(settings: &Settings) -> usize {
+    (settings.nodes / GROUP_NODES).max(1) as usize
+}
+
 /// A span in seconds.
 pub(crate) fn secs(span: Micros) -> f64 {
     span as f64 / 1e6
@@ -132,6 +144,8 @@
     /// Hinted work sent, fading.
     pub sent: Fading,
     pub flights: Vec<Flight>,
+    /// Keys of the jobs sent there, the last one first.
+    pub keys: VecDeque<u64>,
     /// Work sent while cold.
     pub cold_sent: VecDeque<(Micros, f64)>,
     /// Wait that start notices showed beyond the foreseen one, fading.
@@ -174,6 +188,7 @@
             seen_slots: 0.0,
             sent: Fading::default(),
             flights: Vec::new(),
+            keys: VecDeque::new(),
             cold_sent: VecDeque::new(),
             unseen: Fading::default(),
             told: Vec::new(),
@@ -212,6 +227,24 @@
         self.flights.iter().filter(|f| f.started.is_none()).map(late).fold(0.0, f64::max)
     }
 
+    /// How many other keys were sent there since this one.
+    pub fn keys_since(&self, key: u64) -> Option<usize> {
+        self.keys.iter().position(|k| *k == key)
+    }
+
+    /// A job of that key goes there.
+    pub fn heed_key(&mut self, key: u64) {
+        self.keys.retain(|k| *k != key);
+        self.keys.push_front(key);
+        self.keys.truncate(KEYS_MOST);
+    }
+
+    /// A worker's claim to a key, the same at all nodes: the highest one is at home with it.
+    pub fn claim(&self, key: u64) -> u64 {
+        let mixed = (self.id.0 ^ key.wrapping_mul(0x9e37_79b9_7f4a_7c15)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+        (mixed ^ mixed >> 32).wrapping_mul(0xd6e8_feb8_6659_fd93)
+    }
+
     /// Something came from it: it is within reach.
     pub fn sign_of_life(&mut self, now: Micros) {
         self.surveyed = 0;
@@ -255,6 +288,9 @@
     pub first: bool,
     pub work: f64,
     pub slots: f64,
+    /// What it concerns, and the worker that is at home with that.
+    pub key: Option<u64>,
+    pub home: Option<WorkerId>,
     /// An answer after this is taken to be late.
     pub aim_at: Micros,
     pub deadline: Micros,
@@ -275,6 +311,8 @@
             first: true,
             work: 0.0,
             slots: 1.0,
+            key: offer.key,
+            home: None,
             aim_at: 0,
             deadline: offer.deadline,
             attempts: ArrayVec::new(),
@@ -384,6 +422,8 @@
     pub hint_error: f64,
     /// Share of the attempts that start at once, lately.
     pub prompt: f64,
+    /// Mean hinted work of a job.
+    pub usual_work: f64,
 }
 
 impl Fleet {
@@ -400,9 +440,16 @@
             median_slots: 1.0,
             hint_error: 0.5,
             prompt: 1.0,
+            usual_work: UNHINTED_WORK,
         }
     }
 
+    /// The ready worker that all nodes with this list send a key to first.
+    pub fn home(&self, key: Option<u64>) -> Option<WorkerId> {
+        let near = self.near.iter().map(|i| &self.workers[*i]);
+        key.and_then(|key| near.max_by_key(|w| w.claim(key))).map(|w| w.id)
+    }
+
     pub fn find(&self, id: WorkerId) -> Option<usize> {
         self.workers.binary_search_by_key(&id, |w| w.id).ok()
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -66,6 +66,7 @@
 //!     deadline: 5_003_000,
 //!     hint: Some(0.05),
 //!     slots: 1.0,
+//!     key: None,
 //!     repeat: false,
 //! };
 //! dispatcher.handle(3_000, Event::Offered(offer), &mut actions);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -57,6 +57,7 @@
         deadline: now + 5 * SECOND,
         hint: Some(work),
         slots: 1.0,
+        key: None,
         repeat: false,
     }
 }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -676,3 +676,44 @@
     let actions = node.pass(40_000);
     assert!(refused(&actions), "{actions:?}");
 }
+
+/// Runs a job that was sent to its end.
+fn serve(node: &mut Node, job: u64) {
+    node.start(job, 0);
+    node.now += 100_000;
+    node.end(job, 0, Outcome::Done);
+}
+
+#[test]
+fn a_job_goes_where_its_key_was_sent_last() {
+    // Blind to keys, each of six like workers would fetch each key in turn.
+    let mut node = Node::new(settings(), &fleet(6));
+    let mut of_key = std::collections::BTreeMap::new();
+    for n in 0..60 {
+        let key = n % 3;
+        let offer = Offer { key: Some(key), ..offer(n, 0, 0.1, node.now) };
+        let to = sent(&node.tell(Event::Offered(offer))).expect("all are free");
+        assert_eq!(*of_key.entry(key).or_insert(to), to, "key {key}");
+        serve(&mut node, n);
+    }
+}
+
+#[test]
+fn nodes_that_tell_each_other_nothing_send_a_key_to_the_same_worker() {
+    let mut homes = std::collections::BTreeSet::new();
+    for key in 0..20 {
+        let first = |rank: u32| {
+            let mut node = Node::new(Settings { nodes: 3, rank, ..settings() }, &fleet(6));
+            // What it has done before differs from node to node.
+            for n in 0..u64::from(rank) {
+                node.tell(Event::Offered(offer(100 + n, 0, 0.1, node.now)));
+                serve(&mut node, 100 + n);
+            }
+            node.now += 60 * SECOND;
+            sent(&node.tell(Event::Offered(Offer { key: Some(key), ..offer(1, 0, 0.1, node.now) })))
+        };
+        assert!(first(0).is_some() && first(0) == first(1) && first(1) == first(2), "key {key}");
+        homes.insert(first(0));
+    }
+    assert!(homes.len() > 3, "keys are spread: {homes:?}");
+}
