--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,13 +12,13 @@
 /// Work of a job that came without a hint, s. Any fixed figure serves: speeds are learned against it.
 pub(crate) const UNHINTED_WORK: f64 = 0.1;
 /// A fetch takes this many usual jobs' time. How surely a key that was just sent to a worker is there, after how
-/// many others it is not, and how surely one is at its home.
-const FETCH: f64 = 1.0;
+/// many others it is not, and how surely one is at its homes.
+const FETCH: f64 = 1.5;
 const KEPT: f64 = 0.9;
-const KEPT_KEYS: f64 = 6.0;
-const HOME: f64 = 0.6;
+const KEPT_KEYS: f64 = 8.0;
+const HOMES: [f64; 2] = [0.6, 0.3];
 /// Utilisation counts no higher than this: beyond it 1/(1-r) would drown x.
-pub(crate) const R_MAX: f64 = 0.9;
+pub(crate) const R_MAX: f64 = 0.6;
 /// Span over which the rate of work sent is averaged, s.
 pub(crate) const R_SPAN: f64 = 5.0;
 /// Costs within this share of the lowest, and this many seconds, are ties.
@@ -26,8 +26,7 @@
 const TIE_SPAN: f64 = 0.002;
 /// Weight of one job in a learned speed, once there are many.
 pub(crate) const SPEED_GAIN: f64 = 0.08;
-/// Weight of one job in what its worker's kind runs at; what a kind says counts as so many jobs of a worker;
-/// no job moves a kind by more than so many times the usual error.
+/// Weight of one job in its kind's speed; jobs that a kind's word stands for; most usual errors that one moves it.
 pub(crate) const KIND_GAIN: f64 = 0.03;
 pub(crate) const PRIOR_LESSONS: f64 = 3.0;
 pub(crate) const LESSON_CLAMP: f64 = 2.0;
@@ -113,19 +112,20 @@
 /// Clients are asked to stay away for this long after a refusal.
 const REFUSED_WAIT: Micros = 500_000;
 
-/// What a worker promises for a job: seconds of running, and of waiting before.
+/// What a worker promises for a job: seconds of running, those that it takes in any case, and of waiting before.
 #[derive(Clone, Copy)]
 struct Promise {
     index: usize,
     rank: Rank,
     run: f64,
+    sure: f64,
     wait: f64,
 }
 
 impl Dispatcher {
     // ---- the choice -------------------------------------------------------------------------------------
 
-    /// The mechanism: the job's own run, and the backlog weighted by what it does to later arrivals.
+    /// The mechanism: the job's own run, and the backlog weighted by what it does to later jobs.
     pub(crate) fn cost(x: f64, w: f64, r: f64) -> f64 {
         x + w / (1.0 - r)
     }
@@ -133,7 +133,7 @@
     /// One of this node's own workers, or, when none of those may take the job, one of as many others. No
     /// sooner: their work is not known, and in overload many nodes would flood the few that look best.
     fn choose(&mut self, now: Micros, job: &mut Job) -> Option<Promise> {
-        job.home = self.fleet.home(job.key);
+        job.homes = self.fleet.homes(job.key);
         let mut looked = std::mem::take(&mut self.looked);
         looked.clone_from(&self.fleet.near);
         let mut best = self.cheapest(now, job, &looked);
@@ -183,7 +183,7 @@
         let crossing = self.settings.cross_zone_price * CROSSING;
         let (patience, crossing) =
             if w.zone == self.settings.zone { (PATIENCE + crossing, 0.0) } else { (PATIENCE, crossing) };
-        let rank = match p.run * SURE + p.wait <= since(now, job.aim_at) {
+        let rank = match p.sure + p.wait <= since(now, job.aim_at) {
             true if p.wait <= patience => Rank::Free,
             true => Rank::Busy,
             false => Rank::Late,
@@ -196,15 +196,15 @@
     fn promise(&self, now: Micros, index: usize, job: &Job) -> Promise {
         let w = &self.fleet.workers[index];
         let wait = if job.slots > 1.0 { self.wait(now, w, job.slots) } else { w.wait };
-        Promise { index, rank: w.rank, run: job.work / w.speed + self.fetch(w, job), wait }
+        let (work, fetch) = (job.work / w.speed, self.fetch(w, job));
+        Promise { index, rank: w.rank, run: work + fetch, sure: SURE * work + fetch, wait }
     }
 
-    /// Seconds that a job is expected to spend at a worker on fetching what it concerns: little where this
-    /// node has just sent the same, less where all nodes send it first, all of it elsewhere.
+    /// Seconds that a job is likely to spend at a worker on fetching what it concerns.
     fn fetch(&self, w: &Worker, job: &Job) -> f64 {
         let Some(key) = job.key else { return 0.0 };
         let own = w.keys_since(key).map_or(0.0, |others| KEPT * (1.0 - others as f64 / KEPT_KEYS).max(0.0));
-        let home = if job.home == Some(w.id) { HOME } else { 0.0 };
+        let home = job.homes.iter().position(|h| *h == Some(w.id)).map_or(0.0, |place| HOMES[place]);
         FETCH * self.fleet.usual_work * (1.0 - own.max(home))
     }
 
@@ -453,7 +453,7 @@
     fn timely(&self, now: Micros, job: &Job, p: Promise) -> bool {
         match p.rank {
             Rank::Free => true,
-            Rank::Busy => !job.over_quota && since(now, job.aim_at) - p.run * SURE - p.wait < LAST_CALL,
+            Rank::Busy => !job.over_quota && since(now, job.aim_at) - p.sure - p.wait < LAST_CALL,
             Rank::Late => p.wait <= PATIENCE && self.line.len() == 1,
             Rank::None => false,
         }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -239,7 +239,7 @@
         self.keys.truncate(KEYS_MOST);
     }
 
-    /// A worker's claim to a key, the same at all nodes: the highest one is at home with it.
+    /// A worker's claim to a key, the same at all nodes.
     pub fn claim(&self, key: u64) -> u64 {
         let mixed = (self.id.0 ^ key.wrapping_mul(0x9e37_79b9_7f4a_7c15)).wrapping_mul(0xd6e8_feb8_6659_fd93);
         (mixed ^ mixed >> 32).wrapping_mul(0xd6e8_feb8_6659_fd93)
@@ -288,9 +288,9 @@
     pub first: bool,
     pub work: f64,
     pub slots: f64,
-    /// What it concerns, and the worker that is at home with that.
+    /// What it concerns, and the workers that are at home with that.
     pub key: Option<u64>,
-    pub home: Option<WorkerId>,
+    pub homes: [Option<WorkerId>; 2],
     /// An answer after this is taken to be late.
     pub aim_at: Micros,
     pub deadline: Micros,
@@ -312,7 +312,7 @@
             work: 0.0,
             slots: 1.0,
             key: offer.key,
-            home: None,
+            homes: [None; 2],
             aim_at: 0,
             deadline: offer.deadline,
             attempts: ArrayVec::new(),
@@ -444,10 +444,19 @@
         }
     }
 
-    /// The ready worker that all nodes with this list send a key to first.
-    pub fn home(&self, key: Option<u64>) -> Option<WorkerId> {
-        let near = self.near.iter().map(|i| &self.workers[*i]);
-        key.and_then(|key| near.max_by_key(|w| w.claim(key))).map(|w| w.id)
+    /// The two ready workers with the highest claims to a key: all nodes with this list agree on them.
+    pub fn homes(&self, key: Option<u64>) -> [Option<WorkerId>; 2] {
+        let Some(key) = key else { return [None; 2] };
+        let [mut first, mut second] = [None; 2];
+        for w in self.near.iter().map(|i| &self.workers[*i]) {
+            let claim = Some((w.claim(key), w.id));
+            if claim > first {
+                (first, second) = (claim, first);
+            } else {
+                second = second.max(claim);
+            }
+        }
+        [first, second].map(|claim| claim.map(|(_, worker)| worker))
     }
 
     pub fn find(&self, id: WorkerId) -> Option<usize> {
