Take jobs back from silent next hops; answer all before a drain's kill; homes weigh less

Checked: carry() waited for a 202 for the whole deadline plus 2 s; nothing told the module that none had come. Changed: Event::Accepted and accepts_within; a job not taken on after connect time-out + 0.4 s is taken back where another worker may have it, and the silent one gets nothing; idle connections to a dead, silent or restarted next hop are dropped; a withdrawal waits 0.4 s, not 1 s. Event::Ending answers all 0.4 s before the kill and refuses at once what would outlast it. A half-read request is cut only when nothing unread is waiting. Paths go on in origin form. Tests: a_worker_that_does_not_take_a_job_on fails with Flight::unheard switched off.

--- a/node/src/dispatch.rs
+++ b/node/src/dispatch.rs
@@ -98,7 +98,7 @@
 pub trait Carrier {
     type Parcel;
     fn deliver(&self, attempt: DeliveryAttempt<Self::Parcel>);
-    /// That next hop takes nothing more.
+    /// What is open to that next hop is of no use any more.
     fn forget(&self, to: SocketAddr);
 }
 
@@ -138,6 +138,8 @@
         whole: bool,
     },
     ListFailed,
+    /// This node ends after that long.
+    Ending(Duration),
 }
 
 pub type Queue<P> = mpsc::Sender<Notice<P>>;
@@ -189,6 +191,8 @@
     held: HashMap<JobId, Held<C::Parcel>>,
     ids: HashMap<Rc<str>, JobId>,
     hops: HashMap<WorkerId, (Rc<str>, SocketAddr)>,
+    /// When each was last listed to have started.
+    starts: HashMap<WorkerId, Micros>,
     due: BTreeSet<(Micros, Due)>,
     actions: Vec<Action>,
 }
@@ -213,6 +217,7 @@
             held: HashMap::new(),
             ids: HashMap::new(),
             hops: HashMap::new(),
+            starts: HashMap::new(),
             due: BTreeSet::new(),
             actions: Vec::new(),
         }
@@ -273,6 +278,7 @@
                 if let Some(attempt) = self.attempt(key) {
                     attempt.accepted = true;
                     self.counters.add(Counter::Accepted);
+                    self.tell(Event::Accepted { job: key.job, attempt: key.attempt });
                 }
             }
             Notice::Ended(key, outcome) => self.ended(key, outcome),
@@ -284,6 +290,10 @@
             }
             Notice::Listed { hops, whole } => self.listed(self.clock.now(), hops, whole),
             Notice::ListFailed => self.tell(Event::ListFailed),
+            Notice::Ending(after) => {
+                let by = self.clock.now() + after.as_micros() as Micros;
+                self.tell(Event::Ending { by });
+            }
         }
     }
 
@@ -394,12 +404,17 @@
         if whole {
             self.hops.clear();
         }
-        for hop in hops {
-            if hop.listing.life == Life::Gone {
-                self.carrier.forget(hop.address);
-                self.hops.remove(&hop.listing.worker);
+        for NextHop { name, address, listing } in hops {
+            let old = self.starts.insert(listing.worker, listing.started);
+            if listing.life == Life::Gone || old.is_some_and(|old| old != listing.started) {
+                // The connections that are left are those of a process that is no more.
+                self.carrier.forget(address);
+            }
+            if listing.life == Life::Gone {
+                self.starts.remove(&listing.worker);
+                self.hops.remove(&listing.worker);
             } else {
-                self.hops.insert(hop.listing.worker, (hop.name, hop.address));
+                self.hops.insert(listing.worker, (name, address));
             }
         }
         self.dispatcher.handle(now, Event::Listed { entries: &entries, whole }, &mut self.actions);
--- a/node/src/lifecycle.rs
+++ b/node/src/lifecycle.rs
@@ -12,6 +12,11 @@
 /// After SIGTERM the front still sends new connections here for up to 0.4 s, and clients use what they have.
 pub const DRAIN_AT_LEAST: Duration = Duration::from_millis(700);
 
+/// The kill follows SIGTERM after the longest deadline, or this where that is longer, and `DRAIN_AT_LEAST`.
+pub const DRAIN_AT_MOST: Duration = Duration::from_millis(3000);
+/// So long before it the last answers go out.
+pub const LAST_ANSWERS: Duration = Duration::from_millis(400);
+
 /// A phase of the program.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -20,8 +20,8 @@
 use tokio::task::{LocalSet, spawn_local};
 
 use crate::counters::{Counter, Counters};
-use crate::dispatch::{Clock, Dispatch, QUEUE_ROOM};
-use crate::lifecycle::{Config, DRAIN_AT_LEAST, Lifecycle, Phase};
+use crate::dispatch::{Clock, Dispatch, Notice, QUEUE_ROOM};
+use crate::lifecycle::{Config, DRAIN_AT_LEAST, DRAIN_AT_MOST, LAST_ANSWERS, Lifecycle, Phase};
 use crate::next_hop::NextHops;
 use crate::sender_side::SenderSide;
 use crate::transport_map::{Names, TransportMap};
@@ -29,6 +29,8 @@
 /// Descriptors that are neither for clients nor for next hops: standard streams, discovery, the listener, the
 /// event queue, and some to spare.
 const RESERVED_SOCKETS: usize = 48;
+/// A next hop that is well answers a job, on a connection that is up, long before this, in microseconds.
+const ACCEPTANCE: u64 = 400_000;
 /// The last withdrawals may take this long after the last answer.
 const LAST_WORDS: Duration = Duration::from_millis(1500);
 
@@ -68,8 +70,12 @@
 
     // PROTOCOL lets any refusal carry Retry-After, also where the simulator's clients would not hear of it.
     site.decisions.max_advice = site.max_retry_after;
+    // On sockets a 202 tells that a next hop is there, long before the job starts.
+    site.decisions.accepts_within = site.connect_timeout + ACCEPTANCE;
     let dispatcher = Dispatcher::new(site.decisions.clone(), seed).map_err(|e| format!("config: {e}"))?;
 
+    let longest = site.decisions.classes.iter().map(|class| Duration::from_micros(class.give_up)).max();
+    let answered_within = DRAIN_AT_MOST.min(longest.unwrap_or_default()) + DRAIN_AT_LEAST - LAST_ANSWERS;
     let (queue, notices) = mpsc::channel(QUEUE_ROOM);
     let (ask, asked) = mpsc::channel(1);
     let (move_to, moved) = watch::channel(discovery);
@@ -95,6 +101,7 @@
         lifecycle: lifecycle.clone(),
         counters: counters.clone(),
     };
+    let ending = queue.clone();
     let sender_side =
         SenderSide::new(queue, clock, &site, sockets - sockets / 3, lifecycle.clone(), counters.clone());
     let listening = sender_side.listen(listen).and_then(|listener| Ok((listener.local_addr()?, listener)));
@@ -128,6 +135,8 @@
         terminate.recv().await;
         lifecycle.enter(Phase::Draining);
         eprintln!("curlewusher {name}: drains");
+        // Only a dispatch task that has ended does not hear it, and that is said below.
+        let _ = ending.send(Notice::Ending(answered_within)).await;
         tokio::time::sleep(DRAIN_AT_LEAST).await;
         sender_side.finish().await;
         accept.abort();
--- a/node/src/next_hop.rs
+++ b/node/src/next_hop.rs
@@ -31,7 +31,7 @@
 /// No body of a next hop's own answer is longer.
 const LONGEST_BODY: usize = 64 << 10;
 /// A next hop answers the withdrawal of a job within this, or is taken to be out of reach.
-const WITHDRAWAL: Duration = Duration::from_millis(1000);
+const WITHDRAWAL: Duration = Duration::from_millis(400);
 /// After the end of an attempt its 202 is waited for so long, to keep the connection.
 const LATE_ACCEPTANCE: Duration = Duration::from_millis(2000);
 /// Idle connections are looked through this often.
@@ -203,9 +203,19 @@
                 Outcome::Full
             }
             Exchange::Answered(..) => Outcome::Error,
-            Exchange::Unreachable => Outcome::Unreachable,
-            Exchange::InDoubt => Outcome::Lost,
-            Exchange::GivenUp => return self.report(Notice::GivenUp(key)).await,
+            // What else is open to a next hop that died or fell silent would only cost the next attempt its time.
+            Exchange::Unreachable => {
+                self.forget(to);
+                Outcome::Unreachable
+            }
+            Exchange::InDoubt => {
+                self.forget(to);
+                Outcome::Lost
+            }
+            Exchange::GivenUp => {
+                self.forget(to);
+                return self.report(Notice::GivenUp(key)).await;
+            }
         };
         self.report(Notice::Ended(key, outcome)).await;
     }
--- a/node/src/sender_side.rs
+++ b/node/src/sender_side.rs
@@ -43,6 +43,7 @@
 
 const LONGEST_BODY: usize = 64 << 10;
 const LONGEST_ID: usize = 128;
+const LONGEST_PATH: usize = 2048;
 /// No client waits for longer, s.
 const LONGEST_WAIT: f64 = 86_400.0;
 /// No head is longer; hyper buffers no more than this either.
@@ -233,9 +234,10 @@
                 }
             }
             if this.caller.cut.get() && !busy {
-                // A request that has come is served, however late it is read here.
+                // What has come is read first, however late that is: it may be the end of a request, which would be
+                // lost. Its length is bounded.
                 this.caller.cut.set(false);
-                if this.caller.stage.get() != Stage::New || !this.unread() {
+                if !this.unread() {
                     this.counters.add(Counter::Cut);
                     if this.pass > 0 || this.held.is_empty() {
                         return Poll::Ready(Ok(()));
@@ -714,11 +716,18 @@
             return Err(bad("header x-extras asks for an impossible number of slots"));
         }
         let repeat = text(headers, &X_RETRY)? == Some("1");
-        let subject = number_of(request.uri().path().rsplit('/').next().unwrap_or_default());
+        text(headers, &CONTENT_TYPE)?;
+        let path = request.uri().path_and_query().filter(|path| path.as_str().is_ascii()).cloned();
+        let path = path.ok_or_else(|| bad("the path is malformed"))?;
+        if path.as_str().len() > LONGEST_PATH {
+            return Err((StatusCode::URI_TOO_LONG, "the path is too long".into()));
+        }
+        let subject = number_of(path.path().rsplit('/').next().unwrap_or_default());
         let (parts, incoming) = request.into_parts();
         let parcel = Parcel {
             method: parts.method,
-            path: parts.uri,
+            // In the form that a server of its own is asked in, without a scheme and a host.
+            path: path.into(),
             id: parts.headers[X_REQUEST_ID].clone(),
             key,
             content_type: parts.headers.get(CONTENT_TYPE).cloned(),
--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -12,7 +12,8 @@
     let hop = Server::start();
     let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
     assert_eq!(node.get("/ready").status(), 200);
-    let client = write(node.address, &job("r1", "register", 5.0, "Idempotency-Key: k9\r\n"));
+    let request = job("r1", "register", 5.0, "Idempotency-Key: k9\r\n");
+    let client = write(node.address, &request.replace("/api", "http://backend.local/api"));
     let got = hop.next();
     assert_eq!(got.message.start, "POST /api/k1?q=2 HTTP/1.1");
     assert_eq!(got.message.header("x-request-id"), Some("r1"));
@@ -134,6 +135,21 @@
     }
 }
 
+#[test]
+fn a_job_leaves_a_next_hop_that_does_not_take_it_on() {
+    let (one, two) = (Server::start(), Server::start());
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &one), ("s-2", &two)]);
+    let client = write(node.address, &job("r1", "view", 9.0, ""));
+    // Its connection was closed before the job went to the other.
+    let first: Vec<_> = [&one, &two].map(|hop| hop.next().message.start).into();
+    assert!(first.iter().all(|start| start.starts_with("POST")), "{first:?}");
+    assert_eq!(node.count(r#"curlewusher_delivery_attempts_ended_total{outcome="cancelled"}"#), 1);
+    for name in ["s-1", "s-2"] {
+        node.tell("r1", name, r#""state":"done","result":"x""#);
+    }
+    assert_eq!(answer(client).status(), 200);
+}
+
 #[test]
 fn an_id_in_hand_is_not_taken_again_and_its_first_job_is_not_disturbed() {
     let hop = Server::start();
@@ -216,6 +232,8 @@
         (with("Transfer-Encoding: chunked\r\n"), 400),
         (good.replace("\r\n\r\nbody", "\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"), 400),
         (with("Content-Length: 4\r\n"), 400),
+        (with("Content-Type: \u{e9}\r\n"), 400),
+        (good.replace("/api/k1", &format!("/api/{}", "k".repeat(3000))), 414),
         (good.replace("Content-Length: 4", "Content-Length: -4"), 400),
         (good.replace("Content-Length: 4", "Content-Length: 99999999999999999999"), 400),
         (with(&format!("X-Long: {}\r\n", "a".repeat(20_000))), 431),
@@ -314,6 +332,19 @@
     assert!(node.end().status.success());
 }
 
+#[test]
+fn a_job_that_outlasts_the_drain_is_answered_before_the_end() {
+    // The kill comes 3.7 s after SIGTERM, however long the deadline is: without an answer the job would be lost.
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let client = write(node.address, &job("r1", "order", 60.0, ""));
+    hop.next().answer("202 Accepted");
+    node.signal("-TERM");
+    assert_eq!(answer(client).status(), 502);
+    assert_eq!(hop.next().message.start, "DELETE /jobs/r1 HTTP/1.1");
+    assert!(node.end().status.success());
+}
+
 #[test]
 fn more_connections_than_descriptors_do_not_shut_a_job_out() {
     let (discovery, hop) = (Server::start(), Server::start());
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -165,6 +165,8 @@
         // Sizes that change with the load, or are the same for all, tell nothing of slots.
         sizes_told: matches!(wire.weights.as_str(), "nominal" | "rough"),
         tells_start: info.tells_start,
+        // Only real connections tell.
+        accepts_within: 0,
         may_cancel: wire.limits.cancel,
         may_duplicate: wire.limits.may_duplicate,
         may_tell: wire.limits.may_tell,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,14 +11,14 @@
 
 /// Work of a job that came without a hint, s. Any fixed figure serves: speeds are learned against it.
 pub(crate) const UNHINTED_WORK: f64 = 0.1;
-/// A fetch takes this many usual jobs' time. How surely a key that was just sent to a worker is there, after how
-/// many others it is not, and how surely one is at its homes.
+/// A fetch takes this many usual jobs' time. How surely a key that was just sent to a worker is there, after
+/// how many others it is not, and how surely one is at its homes.
 const FETCH: f64 = 1.5;
 const KEPT: f64 = 0.9;
 const KEPT_KEYS: f64 = 8.0;
-const HOMES: [f64; 2] = [0.6, 0.3];
+const HOMES: [f64; 2] = [0.4, 0.25];
 /// Utilisation counts no higher than this: beyond it 1/(1-r) would drown x.
-pub(crate) const R_MAX: f64 = 0.6;
+pub(crate) const R_MAX: f64 = 0.9;
 /// Span over which the rate of work sent is averaged, s.
 pub(crate) const R_SPAN: f64 = 5.0;
 /// Costs within this share of the lowest, and this many seconds, are ties.
@@ -26,14 +26,14 @@
 const TIE_SPAN: f64 = 0.002;
 /// Weight of one job in a learned speed, once there are many.
 pub(crate) const SPEED_GAIN: f64 = 0.08;
-/// Weight of one job in its kind's speed; jobs that a kind's word stands for; most usual errors that one moves it.
+/// Weight of one job in its kind's speed; jobs that a kind's word stands for; most errors one moves it by.
 pub(crate) const KIND_GAIN: f64 = 0.03;
 pub(crate) const PRIOR_LESSONS: f64 = 3.0;
 pub(crate) const LESSON_CLAMP: f64 = 2.0;
 /// Hints are trusted to be off by no more than this many times their mean error (of the logarithm).
 const HINT_ERRORS: f64 = 5.0;
 /// Evidence of other nodes' work at a worker fades over this, s.
-const UNSEEN_SPAN: f64 = 0.3;
+pub(crate) const UNSEEN_SPAN: f64 = 0.3;
 /// And at its kind over this, s; weight of one start in it.
 pub(crate) const KIND_SPAN: f64 = 5.0;
 pub(crate) const KIND_WAIT_GAIN: f64 = 0.1;
@@ -44,8 +44,6 @@
 /// it has already done.
 pub(crate) const HINT_TRUST: f64 = 1.1;
 pub(crate) const OVERRUN: f64 = 0.35;
-/// A start is believed after this long.
-pub(crate) const SETTLED: Micros = 30_000;
 /// A job that can still be in time goes out at the latest this long before it no longer can, s.
 const LAST_CALL: f64 = 0.1;
 /// Jobs in line that are passed over, for want of a worker, before looking again later.
@@ -72,15 +70,6 @@
 pub(crate) const SURVEY_LIFE: Micros = 4_000;
 /// Open jobs are looked at this often.
 pub(crate) const SWEEP: Micros = 10_000;
-/// Own backlogs are told no more often than this, and again after the other.
-pub(crate) const TELL_GAP: Micros = 2_000;
-pub(crate) const TELL_AGAIN: f64 = 0.5;
-/// Nothing is told where an entry told to all nodes costs more than this share of a job's worth.
-pub(crate) const TELL_MOST: f64 = 0.004;
-/// What others told counts this long, s.
-const TOLD_LIFE: f64 = 1.5;
-/// Of the slots that others told, so many are reckoned with at most.
-const TOLD_SLOTS: u32 = 32;
 /// A cold worker's budget is used up to this share: hints are rough.
 const COLD_MARGIN: f64 = 0.4;
 /// By a node whose turn it is among many, this share: those of two turns may fall into one window.
@@ -93,8 +82,10 @@
 const WINDOW_MARGIN: Micros = 200_000;
 /// Seconds of waiting that a price of 1 for a zone crossing is worth.
 const CROSSING: f64 = 2.0;
-/// Asking again for the list after a failure: first wait, doubled each time up to a part of `ask_within`.
+/// Asking again for the list after a failure: first wait, and how often it is doubled. What the list has to
+/// say counts as told within seconds, heard or not.
 const ASK_FIRST: Micros = 400_000;
+const ASK_DOUBLINGS: u32 = 3;
 /// Work beyond a quota goes out only while a share of the ready workers has a free slot: so many times the
 /// share of work within quotas that was lost over a span, s.
 const SPARED: f64 = 3.0;
@@ -112,7 +103,7 @@
 /// Clients are asked to stay away for this long after a refusal.
 const REFUSED_WAIT: Micros = 500_000;
 
-/// What a worker promises for a job: seconds of running, those that it takes in any case, and of waiting before.
+/// What a worker promises for a job: seconds of running, those of them that are sure, and of waiting before.
 #[derive(Clone, Copy)]
 struct Promise {
     index: usize,
@@ -208,26 +199,6 @@
         FETCH * self.fleet.usual_work * (1.0 - own.max(home))
     }
 
-    /// w: seconds that the unended work at a worker, own and told, keeps a job waiting there. With one slot
-    /// that is all of it over the speed; with several, until as many are free as the job takes.
-    pub(crate) fn wait(&self, now: Micros, w: &Worker, slots: f64) -> f64 {
-        let hidden = w.unseen.get(now, UNSEEN_SPAN).max(w.overdue_start(now));
-        if w.flights.is_empty() && w.told.is_empty() {
-            return hidden;
-        }
-        let mut free = Slots::new(self.fleet.slots(w).max(slots));
-        for f in &w.flights {
-            free.put(self.remaining(now, w.speed, f) / w.speed, f.slots);
-        }
-        let (mut work, mut taken) = (0.0, 0.0);
-        for t in w.told.iter().filter(|t| since(t.at, now) < TOLD_LIFE) {
-            work += (t.work - since(t.at, now) * t.slots * w.speed).max(0.0);
-            taken += t.slots;
-        }
-        (0..(taken as u32).min(TOLD_SLOTS)).for_each(|_| _ = free.put(work / taken / w.speed, 1.0));
-        free.put(0.0, slots) + hidden
-    }
-
     // ---- what is learned --------------------------------------------------------------------------------
 
     /// Usual seconds of a job's run, as far as its hint is relied on.
@@ -269,6 +240,7 @@
             }
             Outcome::Error | Outcome::Full => self.strike(now, i),
             Outcome::TimedOut if flight.started.is_none() => self.strike(now, i),
+            Outcome::Cancelled if flight.unheard(now, self.settings.accepts_within) => self.strike(now, i),
             Outcome::Cancelled if flight.started.is_none() => {
                 // What called it off was a start elsewhere: this worker is as late as that shows.
                 let late = since(flight.sent, now) - flight.foreseen;
@@ -343,12 +315,21 @@
 
     // ---- health -----------------------------------------------------------------------------------------
 
-    /// Whether work keeps away from a worker: while it is paused after failures, and then until a single
-    /// repeatable job has shown that it serves again. Silence shows in w: see [`Worker::overdue_start`].
+    /// Whether work keeps away from a worker: while it does not take on what it was sent, while it is paused
+    /// after failures, and then until a repeatable job has shown that it serves. A late start shows in w.
     fn sick(&self, now: Micros, w: &Worker, job: &Job) -> bool {
         let repeatable = self.settings.classes[job.class].effect == Effect::Safe;
         let on_trial = w.strikes > 1 && !(repeatable && w.flights.is_empty());
-        now < w.avoid_until || on_trial
+        now < w.avoid_until || on_trial || w.silent(now, self.settings.accepts_within)
+    }
+
+    /// An attempt to take back from a silent worker, where another may have the job. Where none may, the job
+    /// waits on: the worker may only be slow.
+    fn unheard(&self, now: Micros, job: &Job) -> Option<u32> {
+        let (attempt, at) = job.live().next().filter(|_| self.settings.may_cancel)?;
+        let other = |w: &Worker| w.id != at && w.life == Life::Ready && self.may_repeat(now, w, job);
+        let silent = self.flight(job.id, attempt, at)?.unheard(now, self.settings.accepts_within);
+        (silent && self.fleet.workers.iter().any(other)).then_some(attempt)
     }
 
     /// Backoff with jitter, so that a dead worker costs few attempts and nodes do not return in step.
@@ -384,7 +365,7 @@
         let value = if over_quota { worth * self.settings.over_quota_worth } else { worth };
         let aim_at = (now + aim).saturating_sub(waited);
         let mut job = Job { over_quota, value, first, work, slots, aim_at, ..Job::new(offer) };
-        if now + 2 * SWEEP >= job.deadline {
+        if now + 2 * SWEEP >= job.deadline || self.outlasts(now, &job) {
             // A client's last retry: its time would be up before the next sweep could answer it.
             return self.answer(&mut job, out);
         }
@@ -543,8 +524,8 @@
     pub(crate) fn look_again(&mut self, now: Micros, id: JobId, out: &mut Vec<Action>) {
         let Some(mut job) = self.jobs.remove(&id) else { return };
         let idle = job.live().next().is_none();
-        if now + 2 * SWEEP >= job.deadline {
-            // The client is about to stop waiting: an answer must be out before.
+        if now + 2 * SWEEP >= job.deadline.min(self.ends) || idle && self.outlasts(now, &job) {
+            // The client is about to stop waiting, or this node to end: an answer must be out before.
             self.answer(&mut job, out);
         } else if idle && since(now, job.aim_at) < HOPELESS * self.sure_run(&job)
             || !idle && self.doomed(now, &job)
@@ -552,11 +533,17 @@
             // Overload: work that can no longer earn, here or in a worker's queue, only delays work that can.
             self.give_up(now, &mut job, out);
         } else if !idle {
+            out.extend(self.unheard(now, &job).map(|attempt| Action::Cancel { job: id, attempt }));
             self.hedge(now, &mut job, out);
         }
         self.keep(job);
     }
 
+    /// Whether this node ends before a job that is not out could be served: another is its better chance.
+    fn outlasts(&self, now: Micros, job: &Job) -> bool {
+        secs(self.ends) < secs(now) + job.work / self.fleet.all.speed
+    }
+
     fn give_up(&mut self, now: Micros, job: &mut Job, out: &mut Vec<Action>) {
         if job.first && !job.over_quota {
             self.lost.add(now, job.load(), LOST_SPAN);
@@ -589,7 +576,7 @@
     /// Backoff with jitter: the list serves all nodes in turn, and asking at once makes all late.
     pub(crate) fn ask_later(&mut self, now: Micros) {
         if self.settings.list_on_request {
-            let wait = (ASK_FIRST << self.ask_failures.min(8)).min(self.settings.ask_within / 2);
+            let wait = (ASK_FIRST << self.ask_failures.min(ASK_DOUBLINGS)).min(self.settings.ask_within / 2);
             self.ask_failures += 1;
             self.ask_at = Some(now + micros(secs(wait) * (0.75 + 0.5 * self.rng.f64())));
         }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -33,6 +33,8 @@
     pub(crate) copy_work: f64,
     /// Highest worth of a class.
     pub(crate) top_worth: f64,
+    /// All must be answered by then.
+    pub(crate) ends: Micros,
     pub(crate) wake_at: Option<Micros>,
     /// Own work at some worker has changed since it was last told.
     pub(crate) news: bool,
@@ -42,6 +44,17 @@
     pub(crate) ask_failures: u32,
 }
 
+/// What others told counts this long, s, and so many slots of it at most.
+const TOLD_LIFE: f64 = 1.5;
+const TOLD_SLOTS: u32 = 32;
+/// A start is believed after this long.
+const SETTLED: Micros = 30_000;
+/// Own backlogs are told no more often than this, and again after the other.
+const TELL_GAP: Micros = 2_000;
+const TELL_AGAIN: f64 = 0.5;
+/// Nothing is told where an entry told to all nodes costs more than this share of a job's worth.
+const TELL_MOST: f64 = 0.004;
+
 impl Dispatcher {
     /// A dispatcher that knows nothing but its settings. Give it [`Event::Woken`] first.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
@@ -64,6 +77,7 @@
             retries: RETRY_STORE,
             copy_work: 0.0,
             top_worth: settings.classes.iter().map(|c| c.worth).fold(1e-9, f64::max),
+            ends: Micros::MAX,
             wake_at: None,
             news: false,
             tell_at: None,
@@ -80,8 +94,15 @@
             Event::Listed { entries, whole } => self.listed(now, entries, whole),
             Event::ListFailed => self.ask_later(now),
             Event::Offered(offer) => self.take(now, &offer, out),
-            Event::Started { job, attempt } => self.started(now, job, attempt, out),
-            Event::Progress { job, attempt, done } => self.progressed(now, job, attempt, done),
+            Event::Accepted { job, attempt } => self.accepted(now, job, attempt),
+            Event::Started { job, attempt } => {
+                self.accepted(now, job, attempt);
+                self.started(now, job, attempt, out);
+            }
+            Event::Progress { job, attempt, done } => {
+                self.accepted(now, job, attempt);
+                self.progressed(now, job, attempt, done);
+            }
             Event::Streaming { job, attempt } => {
                 self.started(now, job, attempt, out);
                 self.jobs.entry(job).and_modify(|j| j.bound = true);
@@ -93,6 +114,10 @@
             }
             Event::ClientGone { job } => self.client_gone(job, out),
             Event::Told { from, data } => self.hear(now, from, data),
+            Event::Ending { by } => {
+                self.ends = by;
+                self.woken(now, out);
+            }
             Event::Woken => self.woken(now, out),
         }
         self.arm(now, out);
@@ -113,6 +138,15 @@
         self.keep(job);
     }
 
+    /// A worker's word on a job says as well that it has taken it on.
+    fn accepted(&mut self, now: Micros, job: JobId, attempt: u32) {
+        let Some(i) = self.worker_of(job, attempt) else { return };
+        if let Some(f) = self.fleet.workers[i].flight(job, attempt).filter(|f| !f.accepted) {
+            f.accepted = true;
+            self.fleet.workers[i].sign_of_life(now);
+        }
+    }
+
     pub(crate) fn worker_of(&self, job: JobId, attempt: u32) -> Option<usize> {
         let a = self.jobs.get(&job)?.attempts.get(attempt as usize)?;
         self.fleet.find(a.worker)
@@ -206,6 +240,26 @@
         }
     }
 
+    /// w: seconds that the unended work at a worker, own and told, keeps a job waiting there. With one slot
+    /// that is all of it over the speed; with several, until as many are free as the job takes.
+    pub(crate) fn wait(&self, now: Micros, w: &Worker, slots: f64) -> f64 {
+        let hidden = w.unseen.get(now, UNSEEN_SPAN).max(w.overdue_start(now));
+        if w.flights.is_empty() && w.told.is_empty() {
+            return hidden;
+        }
+        let mut free = Slots::new(self.fleet.slots(w).max(slots));
+        for f in &w.flights {
+            free.put(self.remaining(now, w.speed, f) / w.speed, f.slots);
+        }
+        let (mut work, mut taken) = (0.0, 0.0);
+        for t in w.told.iter().filter(|t| since(t.at, now) < TOLD_LIFE) {
+            work += (t.work - since(t.at, now) * t.slots * w.speed).max(0.0);
+            taken += t.slots;
+        }
+        (0..(taken as u32).min(TOLD_SLOTS)).for_each(|_| _ = free.put(work / taken / w.speed, 1.0));
+        free.put(0.0, slots) + hidden
+    }
+
     /// Learns parallelism. The notice of a start can overtake that of the end that made room for it: only jobs
     /// that have run for a while count as running at once, or it would be learned too high for good.
     fn watch_workers(&mut self, now: Micros) {
@@ -283,6 +337,7 @@
             work: run * w.speed,
             slots: job.slots,
             sent: now,
+            accepted: false,
             foreseen,
             // Where starts are not told, a missing notice is no sign of silence.
             started: (!self.settings.tells_start).then_some(now + micros(foreseen)),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -110,6 +110,8 @@
     pub sizes_told: bool,
     /// Workers tell when a job starts.
     pub tells_start: bool,
+    /// A worker that has not taken an attempt on after this long is silent; 0: workers do not say.
+    pub accepts_within: Micros,
     /// `Action::Cancel` is allowed.
     pub may_cancel: bool,
     /// A job may have two attempts out at once.
@@ -271,6 +273,13 @@
     ListFailed,
     /// A job was taken.
     Offered(Offer),
+    /// A worker has taken an attempt on.
+    Accepted {
+        /// Of this job.
+        job: JobId,
+        /// Which attempt, from 0 in the order of sends.
+        attempt: u32,
+    },
     /// An attempt has started to run.
     Started {
         /// Of this job.
@@ -317,6 +326,11 @@
         /// Its bytes.
         data: &'a [u8],
     },
+    /// This node is to end: all that it has taken must be answered by then.
+    Ending {
+        /// The moment.
+        by: Micros,
+    },
     /// A wake-up has come due. One is also given right after the start.
     Woken,
 }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -93,6 +93,8 @@
     pub work: f64,
     pub slots: f64,
     pub sent: Micros,
+    /// The worker has taken it on.
+    pub accepted: bool,
     /// Wait that was foreseen when it was sent.
     pub foreseen: f64,
     pub started: Option<Micros>,
@@ -100,6 +102,13 @@
     pub progress: Option<(f64, Micros)>,
 }
 
+impl Flight {
+    /// Whether it should have been taken on by now and is not.
+    pub fn unheard(&self, now: Micros, within: Micros) -> bool {
+        within > 0 && !self.accepted && now > self.sent + within
+    }
+}
+
 /// What another node has told of its own work at a worker.
 pub(crate) struct Told {
     pub from: u32,
@@ -245,6 +254,11 @@
         (mixed ^ mixed >> 32).wrapping_mul(0xd6e8_feb8_6659_fd93)
     }
 
+    /// Whether it has not taken on in time what was sent to it.
+    pub fn silent(&self, now: Micros, within: Micros) -> bool {
+        self.flights.iter().any(|f| f.unheard(now, within))
+    }
+
     /// Something came from it: it is within reach.
     pub fn sign_of_life(&mut self, now: Micros) {
         self.surveyed = 0;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 //!     ask_within: 10_000_000,
 //!     tells_start: true,
 //!     sizes_told: false,
+//!     accepts_within: 0,
 //!     may_cancel: true,
 //!     may_duplicate: true,
 //!     may_tell: false,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -22,6 +22,7 @@
         ask_within: 10 * SECOND,
         tells_start: true,
         sizes_told: false,
+        accepts_within: 0,
         may_cancel: true,
         may_duplicate: true,
         may_tell: false,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -717,3 +717,48 @@
     }
     assert!(homes.len() > 3, "keys are spread: {homes:?}");
 }
+
+#[test]
+fn a_worker_that_does_not_take_a_job_on_loses_it_and_gets_no_other() {
+    // Silence used to cost a job its whole deadline, and the next ones followed it.
+    let told = Settings { accepts_within: SECOND / 2, ..settings() };
+    for (class, taken_back) in [(0, true), (1, true), (2, false)] {
+        let mut node = Node::new(told.clone(), &fleet(2));
+        let silent = sent(&node.offer(1, class, 2.0)).expect("both are free");
+        let asked = node.pass(SECOND);
+        assert_eq!(
+            asked.contains(&Action::Cancel { job: JobId(1), attempt: 0 }),
+            taken_back,
+            "class {class}"
+        );
+        if taken_back {
+            assert_eq!(sent(&node.end(1, 0, Outcome::Cancelled)), Some(1 - silent));
+        }
+        assert_ne!(sent(&node.offer(2, 0, 0.1)), Some(silent));
+        // One that has taken the job on may take its time.
+        let mut node = Node::new(told.clone(), &fleet(2));
+        node.offer(1, class, 2.0);
+        node.tell(Event::Accepted { job: JobId(1), attempt: 0 });
+        assert!(!node.pass(SECOND).iter().any(|a| matches!(a, Action::Cancel { .. })));
+    }
+}
+
+#[test]
+fn a_node_that_ends_answers_all_before_and_keeps_no_job_that_would_outlast_it() {
+    let mut node = Node::new(settings(), &fleet(1));
+    node.tell(Event::Listed { entries: &[], whole: true });
+    // Neither can be sent: one could still be served in time, one could not.
+    node.offer(1, 2, 0.5);
+    node.offer(2, 2, 4.0);
+    let by = node.now + 3 * SECOND;
+    let refuses = |actions: &[Action], job| {
+        actions.iter().any(|a| matches!(a, Action::Refuse { job: refused, .. } if *refused == JobId(job)))
+    };
+    let told = node.tell(Event::Ending { by });
+    assert!(refuses(&told, 2) && !refuses(&told, 1), "{told:?}");
+    assert!(refuses(&node.offer(3, 2, 4.0), 3), "another node is its better chance");
+    node.tell(Event::Listed { entries: &fleet(1), whole: true });
+    assert!(sent(&node.pass(20_000)).is_some());
+    // What may have run fails before the end, however long its client would wait.
+    assert!(failed(&node.pass(3 * SECOND - 40_000)));
+}
