Trust no idle connection for long, and do not count a worker as cold for a broken one

Checked: next_hop.rs kept connections for half the 30 s that the settings allow; learn() in choice.rs set unreachable for a lost attempt, so that the next sign of life made the worker count as cold for up to 24 s and cold_budget kept large jobs from it. Changed: FRESH, 0.3 s; a lost attempt pauses its worker and no more. Tests: a_connection_that_has_stood_idle and a_worker_that_broke_a_connection; the second was seen to fail without.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -22,7 +22,7 @@
 use crate::counters::{Counter, Counters};
 use crate::dispatch::{Clock, Dispatch, Notice, QUEUE_ROOM};
 use crate::lifecycle::{Config, DRAIN_AT_LEAST, DRAIN_AT_MOST, LAST_ANSWERS, Lifecycle, Phase};
-use crate::next_hop::NextHops;
+use crate::next_hop::{FRESH, NextHops};
 use crate::sender_side::SenderSide;
 use crate::transport_map::{Names, TransportMap};
 
@@ -84,8 +84,8 @@
         queue.clone(),
         counters.clone(),
         Duration::from_micros(site.connect_timeout),
-        // Half the time that the far end allows keeps well clear of its closing.
-        Duration::from_micros(site.keepalive / 2),
+        // Half the time that the far end allows keeps well clear of its closing, if it keeps to that.
+        Duration::from_micros(site.keepalive / 2).min(FRESH),
         sockets / 3,
     );
     let mut names = Names::new(&site);
--- a/node/src/next_hop.rs
+++ b/node/src/next_hop.rs
@@ -34,8 +34,11 @@
 const WITHDRAWAL: Duration = Duration::from_millis(400);
 /// After the end of an attempt its 202 is waited for so long, to keep the connection.
 const LATE_ACCEPTANCE: Duration = Duration::from_millis(2000);
+/// A connection is used again only this soon. Next hops may close or reset one that has been idle for far less
+/// than they say; what is written to it then is in doubt, which costs more than any number of new connections.
+pub const FRESH: Duration = Duration::from_millis(300);
 /// Idle connections are looked through this often.
-const SWEEP: Duration = Duration::from_millis(1000);
+const SWEEP: Duration = Duration::from_millis(250);
 
 /// What passes through to a next hop, as it came.
 pub struct Parcel {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -177,7 +177,7 @@
 {"name":"register","idempotency":"keyed","keyScope":"cell","dedupWindowUs":40000000,"objectiveUs":9000000,
 "giveUpUs":9000000,"worth":1.0}],
 "limits":{"cancel":true,"mayDuplicate":false,"mayTell":false,"sendCap":3,"retryAfter":false,
-"maxRetryAfterUs":2000000,"connectTimeoutUs":500000,"keepaliveUs":30000000},
+"maxRetryAfterUs":2000000,"connectTimeoutUs":500000,"keepaliveUs":120000000},
 "familyInfo":{"tellsStart":true},
 "rules":{"askWithinUs":10000000,"coldShare":0.2,"warmUpUs":1000000,"overloadFactor":3.0,"fallUs":1000000}}"#;
 
--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -65,6 +65,19 @@
     }
 }
 
+#[test]
+fn a_connection_that_has_stood_idle_is_not_trusted_with_a_job() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let client = write(node.address, &job("r1", "order", 5.0, ""));
+    hop.next().answer("202 Accepted");
+    node.tell("r1", "s-1", r#""state":"done","result":"x""#);
+    assert_eq!(answer(client).status(), 200);
+    // The node ends it long before the far end would.
+    let end = hop.next();
+    assert_eq!((end.message.start.as_str(), end.connection), ("", 0));
+}
+
 #[test]
 fn an_unsafe_job_goes_out_again_only_when_it_never_ran() {
     let hop = Server::start();
@@ -341,7 +354,7 @@
     hop.next().answer("202 Accepted");
     node.signal("-TERM");
     assert_eq!(answer(client).status(), 502);
-    assert_eq!(hop.next().message.start, "DELETE /jobs/r1 HTTP/1.1");
+    assert_eq!(hop.request().message.start, "DELETE /jobs/r1 HTTP/1.1");
     assert!(node.end().status.success());
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -234,11 +234,12 @@
                     self.fleet.learn_speed(i, (flight.work / run).ln());
                 }
             }
-            Outcome::Unreachable | Outcome::Lost => {
+            // A broken connection alone is no new start, and must not make a warm worker count as cold.
+            Outcome::Unreachable => {
                 self.fleet.workers[i].unreachable = true;
                 self.strike(now, i);
             }
-            Outcome::Error | Outcome::Full => self.strike(now, i),
+            Outcome::Error | Outcome::Full | Outcome::Lost => self.strike(now, i),
             Outcome::TimedOut if flight.started.is_none() => self.strike(now, i),
             Outcome::Cancelled if flight.unheard(now, self.settings.accepts_within) => self.strike(now, i),
             Outcome::Cancelled if flight.started.is_none() => {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -259,6 +259,20 @@
     assert!(sent(&node.offer(3, 0, 2.0)).is_none(), "a large job would push it over");
 }
 
+#[test]
+fn a_worker_that_broke_a_connection_is_not_taken_to_be_cold() {
+    // Next hops reset connections and serve on: counted as cold, they would get no large job for long.
+    let mut node = Node::new(settings(), &fleet(1));
+    node.offer(1, 0, 0.1);
+    node.end(1, 0, Outcome::Lost);
+    assert!(sent(&node.pass(200_000)).is_some(), "it is tried again after a pause");
+    node.start(1, 1);
+    node.now += 100_000;
+    node.end(1, 1, Outcome::Done);
+    node.pass(300_000);
+    assert!(sent(&node.offer(3, 0, 2.0)).is_some());
+}
+
 #[test]
 fn dead_workers_are_paused_even_when_most_are_dead() {
     let workers = fleet(4);
