--- /dev/null
+++ b/crates/lab/src/fleet.rs
@@ -0,0 +1,746 @@
+//! Owns the sockets of the fleet: workers and discovery on loopback, driven by the models of `curlewusher-model`. It must
+//! never decide what a worker does, only carry it, and it writes down all that it sees.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use curlewusher_model::Micros;
+use curlewusher_model::plan::Planned;
+use curlewusher_model::roll::{Entry, Roll, Status};
+use curlewusher_model::world::{AttemptNo, Demand, Effect, Input, WorkerNo, World};
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::{Body, Frame, Incoming};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::{oneshot, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, sleep_until, timeout};
+
+use crate::record::{Log, What};
+use crate::scenario::Scenario;
+
+/// Discovery gives up a call that has waited for this.
+const CALL_WAIT: Duration = Duration::from_secs(2);
+/// A watch that has nothing to tell says so this often.
+const WATCH_BEAT: Duration = Duration::from_secs(2);
+/// A worker repeats a call-back that was not heard, so often and after so long.
+const CALLS: usize = 10;
+const CALL_AGAIN: Duration = Duration::from_millis(200);
+const CALL_TIME: Duration = Duration::from_secs(1);
+/// After a move the old discovery's watches live on for this.
+const OLD_WATCH: Duration = Duration::from_millis(1500);
+
+/// What the clients sent, by the id of each try: to which node, and for which job.
+#[derive(Clone, Default)]
+pub struct Tries(Arc<Mutex<HashMap<String, (usize, usize)>>>);
+
+impl Tries {
+    pub fn add(&self, id: &str, node: usize, job: usize) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(id.to_owned(), (node, job));
+    }
+
+    fn get(&self, id: &str) -> Option<(usize, usize)> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).get(id).copied()
+    }
+}
+
+/// Where the nodes listen, by their number; known once each has started.
+pub type NodePlaces = Arc<Mutex<Vec<Option<SocketAddr>>>>;
+
+/// What a worker's result is for a request.
+pub fn result_of(id: &str) -> String {
+    format!("result of {id}")
+}
+
+/// The state of a worker's process, as its sockets show it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sockets {
+    Open,
+    /// Takes and reads all, and answers nothing.
+    Silent,
+    /// Refuses connections; those that were open are reset.
+    Closed,
+}
+
+/// What is done to the fleet.
+#[derive(Clone, Debug)]
+pub enum Order {
+    Kill(WorkerNo),
+    Start(WorkerNo),
+    Slow(WorkerNo, f64),
+    Drain(WorkerNo),
+    Silent(WorkerNo, bool),
+    DiscoveryDown(bool),
+}
+
+enum Notice {
+    Arrived {
+        worker: WorkerNo,
+        id: String,
+        node: usize,
+        job: usize,
+        head: Micros,
+        reply: oneshot::Sender<bool>,
+    },
+    /// By name.
+    Withdraw {
+        worker: WorkerNo,
+        id: String,
+    },
+    /// Its connection ended before the 202.
+    Dropped {
+        worker: WorkerNo,
+        id: String,
+    },
+    Watch {
+        node: usize,
+        since: u64,
+        port: u64,
+        lines: UnboundedSender<Bytes>,
+    },
+    OldPort {
+        port: u64,
+    },
+    Order(Order),
+}
+
+/// A body that is written as it comes.
+struct Lines(UnboundedReceiver<Bytes>);
+
+impl Body for Lines {
+    type Data = Bytes;
+    type Error = Infallible;
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self.0.poll_recv(cx).map(|bytes| bytes.map(|bytes| Ok(Frame::data(bytes))))
+    }
+}
+
+type Reply = Response<Either<Full<Bytes>, Lines>>;
+
+fn reply(status: StatusCode, text: impl Into<Bytes>) -> Reply {
+    let mut reply = Response::new(Either::Left(Full::new(text.into())));
+    *reply.status_mut() = status;
+    reply
+}
+
+/// The fleet as it stands; dropped, it is gone.
+pub struct Fleet {
+    queue: UnboundedSender<Notice>,
+    ports: Mutex<Vec<(u64, JoinHandle<()>)>>,
+    next_port: Mutex<u64>,
+    calls: Arc<tokio::sync::Mutex<()>>,
+    call_time: Duration,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+        self.ports.lock().unwrap_or_else(PoisonError::into_inner).iter().for_each(|(_, task)| task.abort());
+    }
+}
+
+/// A worker's lines in discovery's own words.
+struct Names {
+    addresses: Vec<SocketAddr>,
+    kinds: Vec<String>,
+    bays: Vec<u32>,
+    /// What the beginning of the records is on the system's clock, ms.
+    unix_ms: u64,
+}
+
+impl Names {
+    fn line(&self, entry: &Entry) -> serde_json::Value {
+        let status = match entry.status {
+            Status::InService => "in_service",
+            Status::Terminating => "terminating",
+            Status::Terminated => "terminated",
+        };
+        let worker = entry.worker;
+        serde_json::json!({
+            "name": name_of(worker), "address": self.addresses[worker], "zone": "lab", "type": self.kinds[worker],
+            "group": self.bays[worker], "status": status, "weight": 1.0,
+            "since_ms": entry.since.map_or(0, |since| self.unix_ms + since / 1000),
+        })
+    }
+
+    fn message(&self, index: u64, whole: bool, entries: &[Entry]) -> Bytes {
+        let endpoints: Vec<_> = entries.iter().map(|entry| self.line(entry)).collect();
+        let message = serde_json::json!({"index": index, "snapshot": whole, "endpoints": endpoints});
+        format!("{message}\n").into()
+    }
+}
+
+fn name_of(worker: WorkerNo) -> String {
+    format!("w-{worker:05}")
+}
+
+impl Fleet {
+    /// Opens all workers' ports and starts the world.
+    pub async fn start(
+        scenario: &Scenario,
+        jobs: Arc<Vec<Planned>>,
+        tries: Tries,
+        nodes: NodePlaces,
+        log: Log,
+    ) -> Result<Fleet, String> {
+        let machines = scenario.machines();
+        let grown = scenario.grown();
+        let (queue, notices) = unbounded_channel();
+        let (mut tasks, mut sockets, mut addresses) = (Vec::new(), Vec::new(), Vec::new());
+        for worker in 0..machines.len() {
+            let listener =
+                TcpListener::bind("127.0.0.1:0").await.map_err(|e| format!("a worker's port: {e}"))?;
+            let address = listener.local_addr().map_err(|e| format!("a worker's port: {e}"))?;
+            addresses.push(address);
+            let first = if grown.contains(&worker) { Sockets::Closed } else { Sockets::Open };
+            let (state, seen) = watch::channel(first);
+            sockets.push(state);
+            let hall =
+                Hall { worker, queue: queue.clone(), tries: tries.clone(), log: log.clone(), state: seen };
+            tasks.push(tokio::spawn(hall.listen(listener, address)));
+        }
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        let names = Names {
+            addresses,
+            kinds: (0..machines.len()).map(|worker| scenario.kind_of(worker).1.name.clone()).collect(),
+            bays: machines.iter().map(|machine| machine.bay).collect(),
+            unix_ms: (unix.as_micros() as u64 - log.now()) / 1000,
+        };
+        let present = (0..machines.len()).filter(|worker| !grown.contains(worker));
+        let roll = Roll::new(present, curlewusher_model::span(scenario.fleet.list_late_s));
+        let mut world = World::new(machines, scenario.nature());
+        for worker in grown {
+            world.handle(0, Input::Kill(worker), &mut Vec::new());
+        }
+        let owner = Owner {
+            world,
+            roll,
+            names,
+            jobs,
+            nodes,
+            log,
+            silent: vec![false; sockets.len()],
+            sockets: Arc::new(sockets),
+            attempts: HashMap::new(),
+            current: HashMap::new(),
+            next_attempt: 1,
+            watches: Vec::new(),
+            discovery_down: false,
+            client: Client::builder(TokioExecutor::new()).build(HttpConnector::new()),
+        };
+        tasks.push(tokio::spawn(owner.run(notices)));
+        Ok(Fleet {
+            queue,
+            ports: Mutex::default(),
+            next_port: Mutex::new(1),
+            calls: Arc::default(),
+            call_time: Duration::from_secs_f64(scenario.fleet.list_call_s),
+            tasks,
+        })
+    }
+
+    pub fn order(&self, order: Order) {
+        let _ = self.queue.send(Notice::Order(order));
+    }
+
+    /// Opens a discovery for a node; an older one of it takes no new calls, and its watches end a little later.
+    pub async fn discovery_for(&self, node: usize) -> Result<SocketAddr, String> {
+        let listener =
+            TcpListener::bind("127.0.0.1:0").await.map_err(|e| format!("discovery's port: {e}"))?;
+        let address = listener.local_addr().map_err(|e| format!("discovery's port: {e}"))?;
+        let port = {
+            let mut next = self.next_port.lock().unwrap_or_else(PoisonError::into_inner);
+            *next += 1;
+            *next * 1000 + node as u64
+        };
+        let (queue, calls, call_time) = (self.queue.clone(), self.calls.clone(), self.call_time);
+        let task = tokio::spawn(async move {
+            loop {
+                let Ok((stream, _)) = listener.accept().await else { continue };
+                let (queue, calls) = (queue.clone(), calls.clone());
+                let service = service_fn(move |request: Request<Incoming>| {
+                    let (queue, calls) = (queue.clone(), calls.clone());
+                    async move { Ok::<_, Infallible>(list(request, node, port, queue, calls, call_time).await) }
+                });
+                tokio::spawn(
+                    hyper::server::conn::http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service),
+                );
+            }
+        });
+        let mut ports = self.ports.lock().unwrap_or_else(PoisonError::into_inner);
+        for (old, task) in ports.iter().filter(|(port, _)| port % 1000 == node as u64) {
+            task.abort();
+            let (old, queue) = (*old, self.queue.clone());
+            tokio::spawn(async move {
+                sleep(OLD_WATCH).await;
+                let _ = queue.send(Notice::OldPort { port: old });
+            });
+        }
+        ports.retain(|(port, _)| port % 1000 != node as u64);
+        ports.push((port, task));
+        Ok(address)
+    }
+}
+
+/// A call of discovery.
+async fn list(
+    request: Request<Incoming>,
+    node: usize,
+    port: u64,
+    queue: UnboundedSender<Notice>,
+    calls: Arc<tokio::sync::Mutex<()>>,
+    call_time: Duration,
+) -> Reply {
+    let failed = || reply(StatusCode::SERVICE_UNAVAILABLE, "not now\n");
+    let figure = |name: &str| {
+        let query = request.uri().query().unwrap_or_default();
+        query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok())
+    };
+    if request.uri().path() != "/v1/endpoints" {
+        return reply(StatusCode::NOT_FOUND, "nothing is here\n");
+    }
+    // One after another, for all nodes together.
+    let served = async {
+        let _turn = calls.lock().await;
+        sleep(call_time).await;
+    };
+    if timeout(CALL_WAIT, served).await.is_err() {
+        return failed();
+    }
+    let (lines, mut out) = unbounded_channel();
+    let since = figure("since").unwrap_or(0);
+    let _ = queue.send(Notice::Watch { node, since, port, lines });
+    // Discovery that is down drops the sending half.
+    let Some(first) = out.recv().await else { return failed() };
+    if figure("follow") != Some(1) {
+        return reply(StatusCode::OK, first);
+    }
+    let (again, rest) = unbounded_channel();
+    let _ = again.send(first);
+    tokio::spawn(async move {
+        while let Some(line) = out.recv().await {
+            if again.send(line).is_err() {
+                return;
+            }
+        }
+    });
+    Response::new(Either::Right(Lines(rest)))
+}
+
+/// The port of one worker.
+#[derive(Clone)]
+struct Hall {
+    worker: WorkerNo,
+    queue: UnboundedSender<Notice>,
+    tries: Tries,
+    log: Log,
+    state: watch::Receiver<Sockets>,
+}
+
+impl Hall {
+    async fn listen(mut self, listener: TcpListener, address: SocketAddr) {
+        let mut listener = Some(listener);
+        loop {
+            if *self.state.borrow_and_update() == Sockets::Closed {
+                listener = None;
+                if self.state.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            let Some(open) = &listener else {
+                // Its own port may still be taken for a moment by what was reset.
+                match TcpListener::bind(address).await {
+                    Ok(again) => listener = Some(again),
+                    Err(_) => sleep(Duration::from_millis(20)).await,
+                }
+                continue;
+            };
+            tokio::select! {
+                changed = self.state.changed() => if changed.is_err() { return },
+                accepted = open.accept() => {
+                    let Ok((stream, _)) = accepted else { continue };
+                    tokio::spawn(self.clone().serve(stream));
+                }
+            }
+        }
+    }
+
+    async fn serve(self, stream: tokio::net::TcpStream) {
+        let _ = stream.set_nodelay(true);
+        // A process that dies resets its connections.
+        let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        let mut state = self.state.clone();
+        let service = service_fn(move |request| {
+            let hall = self.clone();
+            async move { Ok::<_, Infallible>(hall.respond(request).await) }
+        });
+        let connection =
+            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let dies = async {
+            // An error says that the fleet is gone, which is the same.
+            let _ = state.wait_for(|state| *state == Sockets::Closed).await;
+        };
+        tokio::select! {
+            _ = connection => {}
+            () = dies => {}
+        }
+    }
+
+    async fn respond(self, request: Request<Incoming>) -> Reply {
+        let head = self.log.now();
+        if request.method() == Method::DELETE {
+            let Some(id) = request.uri().path().strip_prefix("/jobs/").map(str::to_owned) else {
+                return reply(StatusCode::NOT_FOUND, "nothing is here\n");
+            };
+            let _ = self.queue.send(Notice::Withdraw { worker: self.worker, id });
+            return self.unless_silent(reply(StatusCode::NO_CONTENT, "")).await;
+        }
+        let id = request.headers().get("x-request-id").and_then(|v| v.to_str().ok()).map(str::to_owned);
+        if request.method() != Method::POST {
+            return reply(StatusCode::NOT_FOUND, "nothing is here\n");
+        }
+        let Some(id) = id else { return reply(StatusCode::NOT_FOUND, "no id\n") };
+        let Some((node, job)) = self.tries.get(&id) else {
+            return reply(StatusCode::BAD_REQUEST, "no client sent this\n");
+        };
+        if request.into_body().collect().await.is_err() {
+            return reply(StatusCode::BAD_REQUEST, "half a body\n");
+        }
+        let (answer, answered) = oneshot::channel();
+        let mut watch = DropWatch { worker: self.worker, id: Some(id.clone()), queue: self.queue.clone() };
+        let arrived = Notice::Arrived { worker: self.worker, id, node, job, head, reply: answer };
+        let _ = self.queue.send(arrived);
+        let taken = answered.await.unwrap_or(false);
+        let answer = if taken {
+            reply(StatusCode::ACCEPTED, "")
+        } else {
+            let mut answer = reply(StatusCode::SERVICE_UNAVAILABLE, "full\n");
+            answer.headers_mut().insert("x-not-run", hyper::header::HeaderValue::from_static("1"));
+            answer
+        };
+        let answer = self.unless_silent(answer).await;
+        watch.id = None;
+        answer
+    }
+
+    /// A silent worker answers nothing until it is silent no more.
+    async fn unless_silent(mut self, answer: Reply) -> Reply {
+        let _ = self.state.wait_for(|state| *state != Sockets::Silent).await;
+        answer
+    }
+}
+
+/// Says that a connection ended before its answer.
+struct DropWatch {
+    worker: WorkerNo,
+    id: Option<String>,
+    queue: UnboundedSender<Notice>,
+}
+
+impl Drop for DropWatch {
+    fn drop(&mut self) {
+        if let Some(id) = self.id.take() {
+            let _ = self.queue.send(Notice::Dropped { worker: self.worker, id });
+        }
+    }
+}
+
+struct Out {
+    id: String,
+    worker: WorkerNo,
+    reply: Option<oneshot::Sender<bool>>,
+    calls: UnboundedSender<String>,
+}
+
+/// The task that owns the models.
+struct Owner {
+    world: World,
+    roll: Roll,
+    names: Names,
+    jobs: Arc<Vec<Planned>>,
+    nodes: NodePlaces,
+    log: Log,
+    sockets: Arc<Vec<watch::Sender<Sockets>>>,
+    attempts: HashMap<AttemptNo, Out>,
+    /// The attempt of a request that a worker has.
+    current: HashMap<(WorkerNo, String), AttemptNo>,
+    next_attempt: AttemptNo,
+    silent: Vec<bool>,
+    watches: Vec<(usize, u64, UnboundedSender<Bytes>)>,
+    discovery_down: bool,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Owner {
+    async fn run(mut self, mut notices: UnboundedReceiver<Notice>) {
+        let mut beat = tokio::time::interval(WATCH_BEAT);
+        loop {
+            let due = [self.world.next(), self.roll.next()].into_iter().flatten().min();
+            let wait = async {
+                match due {
+                    Some(at) => sleep_until(self.log.instant(at)).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                notice = notices.recv() => match notice {
+                    Some(notice) => self.hear(notice),
+                    None => return,
+                },
+                () = wait => {}
+                _ = beat.tick() => {
+                    self.watches.retain(|(_, _, lines)| lines.send(Bytes::from_static(b"\n")).is_ok());
+                }
+            }
+            let mut effects = Vec::new();
+            self.world.drive(self.log.now(), &mut effects);
+            self.carry_out(effects);
+            self.reveal();
+        }
+    }
+
+    fn drive(&mut self, input: Input) {
+        let mut effects = Vec::new();
+        self.world.handle(self.log.now(), input, &mut effects);
+        self.carry_out(effects);
+    }
+
+    fn hear(&mut self, notice: Notice) {
+        match notice {
+            Notice::Arrived { worker, id, node, job, head, reply } => {
+                let planned = &self.jobs[job];
+                let demand = Demand {
+                    work_s: planned.work_s,
+                    slots: planned.slots,
+                    memory: f64::from(planned.slots),
+                    set: planned.set,
+                    // A client's retry bears the key of its first try.
+                    key: Some(job as u64),
+                };
+                let attempt = self.next_attempt;
+                self.next_attempt += 1;
+                self.log.add(What::Arrived {
+                    attempt,
+                    id: id.clone(),
+                    node,
+                    worker,
+                    bay: self.names.bays[worker],
+                    work_s: planned.work_s,
+                    head_us: head,
+                });
+                let calls = self.caller(node);
+                self.current.insert((worker, id.clone()), attempt);
+                self.attempts.insert(attempt, Out { id, worker, reply: Some(reply), calls });
+                // A silent process has it and does nothing with it; `reply` waits with it.
+                if !self.silent[worker] {
+                    self.drive(Input::Arrive { worker, attempt, demand });
+                }
+            }
+            Notice::Withdraw { worker, id } | Notice::Dropped { worker, id } => {
+                let Some(attempt) = self.current.get(&(worker, id)).copied() else { return };
+                self.drive(Input::Withdraw { worker, attempt });
+                if self.attempts.contains_key(&attempt) {
+                    // It came to a silent process, and the world never had it.
+                    self.log.add(What::Withdrawn { attempt });
+                    self.over(attempt);
+                }
+            }
+            Notice::Watch { node, since, port, lines } => {
+                if self.discovery_down {
+                    return;
+                }
+                let (whole, entries) = match self.roll.since(since) {
+                    Some(entries) => (false, entries),
+                    None => (true, self.roll.whole()),
+                };
+                if lines.send(self.names.message(self.roll.index(), whole, &entries)).is_ok() {
+                    self.told(node, &entries);
+                    self.watches.push((node, port, lines));
+                }
+            }
+            Notice::OldPort { port } => self.watches.retain(|(_, of, _)| *of != port),
+            Notice::Order(order) => self.obey(order),
+        }
+    }
+
+    fn obey(&mut self, order: Order) {
+        let now = self.log.now();
+        let change =
+            |roll: &mut Roll, worker, status, since| roll.change(now, Entry { worker, status, since });
+        match order {
+            Order::Kill(worker) => {
+                self.drive(Input::Kill(worker));
+                self.sockets[worker].send_replace(Sockets::Closed);
+                change(&mut self.roll, worker, Status::Terminated, None);
+            }
+            Order::Start(worker) => {
+                self.drive(Input::Start(worker));
+                self.silent[worker] = false;
+                self.log.add_at(now, What::WorkerStarted { worker });
+                self.sockets[worker].send_replace(Sockets::Open);
+                change(&mut self.roll, worker, Status::InService, Some(now));
+            }
+            Order::Slow(worker, times) => self.drive(Input::Slow(worker, times)),
+            Order::Drain(worker) => {
+                self.drive(Input::Drain(worker));
+                change(&mut self.roll, worker, Status::Terminating, None);
+            }
+            Order::Silent(worker, silent) => {
+                self.silent[worker] = silent;
+                self.sockets[worker].send_replace(if silent { Sockets::Silent } else { Sockets::Open });
+            }
+            Order::DiscoveryDown(down) => {
+                self.discovery_down = down;
+                if down {
+                    self.watches.clear();
+                }
+            }
+        }
+    }
+
+    fn told(&self, node: usize, entries: &[Entry]) {
+        for entry in entries {
+            let in_service = entry.status == Status::InService;
+            let started_us = entry.since.unwrap_or(0);
+            self.log.add(What::Told { node, worker: entry.worker, in_service, started_us });
+        }
+    }
+
+    fn reveal(&mut self) {
+        let (index, entries) = self.roll.reveal(self.log.now());
+        if entries.is_empty() {
+            return;
+        }
+        let message = self.names.message(index, false, &entries);
+        let mut watches = std::mem::take(&mut self.watches);
+        watches.retain(|(node, _, lines)| {
+            let heard = lines.send(message.clone()).is_ok();
+            if heard {
+                self.told(*node, &entries);
+            }
+            heard
+        });
+        self.watches = watches;
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::TakenOn(attempt) => {
+                    self.log.add(What::TakenOn { attempt });
+                    self.answer(attempt, true);
+                }
+                Effect::TurnedAway(attempt) => {
+                    self.log.add(What::TurnedAway { attempt });
+                    self.answer(attempt, false);
+                    self.over(attempt);
+                }
+                Effect::Started(attempt) => {
+                    self.log.add(What::Started { attempt });
+                    self.call(attempt, r#""state":"started""#);
+                }
+                Effect::Running(attempt, share) => {
+                    self.call(attempt, &format!(r#""state":"running","share":{share:.3}"#))
+                }
+                Effect::Done(attempt) => {
+                    self.log.add(What::Done { attempt });
+                    let result = self.attempts.get(&attempt).map(|out| result_of(&out.id));
+                    self.call(
+                        attempt,
+                        &format!(r#""state":"done","result":"{}""#, result.unwrap_or_default()),
+                    );
+                    self.over(attempt);
+                }
+                Effect::Returned(attempt) => {
+                    self.log.add(What::Returned { attempt });
+                    self.call(attempt, r#""state":"returned""#);
+                    self.over(attempt);
+                }
+                Effect::Lost(attempt) => {
+                    self.log.add(What::Lost { attempt });
+                    // The machine's agent saw the process die.
+                    self.call(attempt, r#""state":"lost""#);
+                    self.over(attempt);
+                }
+                Effect::Withdrawn(attempt, _) => {
+                    self.log.add(What::Withdrawn { attempt });
+                    self.over(attempt);
+                }
+                Effect::FellOver(worker) => {
+                    self.log.add(What::FellOver { worker });
+                    self.sockets[worker].send_replace(Sockets::Closed);
+                    let entry = Entry { worker, status: Status::Terminated, since: None };
+                    self.roll.change(self.log.now(), entry);
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, attempt: AttemptNo, taken: bool) {
+        let reply = self.attempts.get_mut(&attempt).and_then(|out| out.reply.take());
+        if let Some(reply) = reply {
+            // A node that has closed its connection hears nothing, and has said so.
+            let _ = reply.send(taken);
+        }
+    }
+
+    fn over(&mut self, attempt: AttemptNo) {
+        if let Some(out) = self.attempts.remove(&attempt) {
+            let key = (out.worker, out.id);
+            if self.current.get(&key) == Some(&attempt) {
+                self.current.remove(&key);
+            }
+        }
+    }
+
+    fn call(&self, attempt: AttemptNo, rest: &str) {
+        let Some(out) = self.attempts.get(&attempt) else { return };
+        let from = name_of(out.worker);
+        let _ = out.calls.send(format!(r#"{{"id":"{}","from":"{from}",{rest}}}"#, out.id));
+    }
+
+    /// What an attempt has to tell goes out in order, each call until it is heard.
+    fn caller(&self, node: usize) -> UnboundedSender<String> {
+        let (calls, mut waiting) = unbounded_channel::<String>();
+        let (client, nodes) = (self.client.clone(), self.nodes.clone());
+        tokio::spawn(async move {
+            while let Some(text) = waiting.recv().await {
+                for _ in 0..CALLS {
+                    let at = nodes.lock().unwrap_or_else(PoisonError::into_inner)[node];
+                    let heard = async {
+                        let request = Request::post(format!("http://{}/callback", at?))
+                            .body(Full::new(Bytes::from(text.clone())))
+                            .ok()?;
+                        let reply = client.request(request).await.ok()?;
+                        let heard = matches!(reply.status(), StatusCode::OK | StatusCode::NO_CONTENT);
+                        // Read to its end, so that the connection can be used again.
+                        let _ = reply.into_body().collect().await;
+                        heard.then_some(())
+                    };
+                    if timeout(CALL_TIME, heard).await.ok().flatten().is_some() {
+                        break;
+                    }
+                    sleep(CALL_AGAIN).await;
+                }
+            }
+        });
+        calls
+    }
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,230 @@
+//! The laboratory. Owns the command line. It must never do the work of a part.
+
+#![forbid(unsafe_code)]
+
+mod compare;
+mod fleet;
+mod judge;
+mod load;
+mod nodes;
+mod play;
+mod record;
+mod report;
+mod scenario;
+mod scripted;
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+use crate::nodes::Program;
+use crate::report::Figures;
+use crate::scenario::Scenario;
+
+/// Plays scenarios on real nodes on loopback: a fleet, clients and faults round them, and a judge over what was seen.
+///
+/// Ends with 0 when no rule was broken and no node crashed, 1 when one was or did, 2 when it could not begin, and 3 when
+/// the run does not count.
+#[derive(Parser)]
+#[command(name = "curlewusher-lab", version)]
+struct CommandLine {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play a scenario, judge it, and leave a report
+    Run {
+        /// The scenario's file
+        scenario: PathBuf,
+        /// The node's program; else the one beside this program
+        #[arg(long, value_name = "FILE")]
+        node: Option<PathBuf>,
+        /// Play the lab's own scripted node instead, with this fault (none keeps the rules)
+        #[arg(long, value_name = "FAULT", conflicts_with = "node")]
+        scripted: Option<scripted::Flaw>,
+        /// Another seed than the file's
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Where report.html, figures.json, seen.jsonl and the nodes' logs go
+        #[arg(long, default_value = "found/lab", value_name = "FOLDER")]
+        out: PathBuf,
+        /// No progress bar
+        #[arg(long)]
+        quiet: bool,
+    },
+    /// Play the same scenario and seeds on two nodes' programs or two operator's files, in turns, and compare them
+    Compare {
+        /// The scenario's file
+        scenario: PathBuf,
+        /// The first program
+        #[arg(long, value_name = "FILE")]
+        a: Option<PathBuf>,
+        /// The second program
+        #[arg(long, value_name = "FILE")]
+        b: Option<PathBuf>,
+        /// The operator's file of the first
+        #[arg(long, value_name = "FILE")]
+        operator_a: Option<PathBuf>,
+        /// The operator's file of the second
+        #[arg(long, value_name = "FILE")]
+        operator_b: Option<PathBuf>,
+        /// How many seeds, counted from the scenario's
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+        /// Where both sides' reports go
+        #[arg(long, default_value = "found/compare", value_name = "FOLDER")]
+        out: PathBuf,
+    },
+    /// Read a scenario and say whether it is good
+    Check {
+        /// The scenario's file
+        scenario: PathBuf,
+    },
+    /// Be a node that keeps all rules, or breaks one: for tests of the judge and of the lab's own limit
+    #[command(hide = true)]
+    ScriptedNode {
+        /// What it does wrong
+        flaw: scripted::Flaw,
+    },
+}
+
+fn main() -> ExitCode {
+    match command(CommandLine::parse().command) {
+        Ok(code) => ExitCode::from(code),
+        Err(problem) => {
+            eprintln!("curlewusher-lab: {problem}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn command(command: Command) -> Result<u8, String> {
+    match command {
+        Command::Run { scenario, node, scripted, seed, out, quiet } => {
+            let mut scenario = read(&scenario)?;
+            scenario.seed = seed.unwrap_or(scenario.seed);
+            let program = match scripted {
+                Some(flaw) => Program {
+                    path: std::env::current_exe().map_err(|e| format!("this program's own place: {e}"))?,
+                    arguments: vec!["scripted-node".into(), flaw.to_string()],
+                    folder: out.clone(),
+                },
+                None => Program { path: program(node)?, arguments: Vec::new(), folder: out.clone() },
+            };
+            runtime(1)?.block_on(run(scenario, program, !quiet)).map(|(figures, code)| {
+                print!("{}", report::in_short(&figures));
+                println!("report: {}", out.join("report.html").display());
+                code
+            })
+        }
+        Command::Compare { scenario, a, b, operator_a, operator_b, seeds, out } => {
+            let scenario = read(&scenario)?;
+            let (a, b) = (program(a)?, program(b)?);
+            let mut pairs = Vec::new();
+            for seed in scenario.seed..scenario.seed + seeds {
+                let side = |name: &str, path: &Path, operator: &Option<PathBuf>| -> Result<Figures, String> {
+                    let mut scenario = scenario.clone();
+                    scenario.seed = seed;
+                    scenario.nodes.operator = operator.clone().or(scenario.nodes.operator);
+                    let folder = out.join(format!("{name}-{seed}"));
+                    let program = Program { path: path.to_owned(), arguments: Vec::new(), folder };
+                    let (figures, _) = runtime(1)?.block_on(run(scenario, program, true))?;
+                    println!("seed {seed} {name}: {:.3}", figures.share_in_time);
+                    Ok(figures)
+                };
+                // Each goes first in turn, so that what warms the machine helps neither.
+                pairs.push(if seed % 2 == 0 {
+                    let first = side("a", &a, &operator_a)?;
+                    (first, side("b", &b, &operator_b)?)
+                } else {
+                    let first = side("b", &b, &operator_b)?;
+                    (side("a", &a, &operator_a)?, first)
+                });
+            }
+            let said = compare::compare(&pairs)?;
+            let text = serde_json::to_string_pretty(&said).map_err(|e| e.to_string())?;
+            write(&out.join("comparison.json"), &text)?;
+            let verdict =
+                if said.clear() { "a difference" } else { "no difference that these runs can show" };
+            println!("b less a: {:+.4} +- {:.4} over {} pairs: {verdict}", said.mean, said.half, said.pairs);
+            Ok(u8::from(
+                pairs.iter().any(|(a, b)| a.broken_rules + b.broken_rules + a.crashes + b.crashes > 0),
+            ))
+        }
+        Command::Check { scenario } => read(&scenario).map(|scenario| {
+            let jobs = scenario.wish().draw().len();
+            println!(
+                "{}: {} nodes, {} workers, {jobs} jobs",
+                scenario.title,
+                scenario.nodes.count,
+                scenario.workers()
+            );
+            0
+        }),
+        Command::ScriptedNode { flaw } => runtime(0)?.block_on(scripted::serve(flaw)).map(|()| 0),
+    }
+}
+
+fn read(path: &Path) -> Result<Scenario, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let mut scenario = Scenario::parse(&text).map_err(|problem| format!("{}: {problem}", path.display()))?;
+    // What the file names is found from where the file lies.
+    if let (Some(file), Some(folder)) = (&scenario.nodes.operator, path.parent()) {
+        scenario.nodes.operator = Some(folder.join(file));
+    }
+    Ok(scenario)
+}
+
+fn program(given: Option<PathBuf>) -> Result<PathBuf, String> {
+    let beside = || Some(std::env::current_exe().ok()?.parent()?.join("curlewusher"));
+    let path =
+        given.or_else(beside).ok_or("this program's own place is not known: name the node's with --node")?;
+    if !path.is_file() {
+        return Err(format!("no program at {}: build it, or name it with --node", path.display()));
+    }
+    Ok(path)
+}
+
+/// Threads beside the one that waits: the lab needs more than one only at large size.
+fn runtime(more: usize) -> Result<tokio::runtime::Runtime, String> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1 + more)
+        .enable_all()
+        .build()
+        .map_err(|e| format!("the runtime does not start: {e}"))
+}
+
+fn write(path: &Path, text: &str) -> Result<(), String> {
+    std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+async fn run(scenario: Scenario, program: Program, bar: bool) -> Result<(Figures, u8), String> {
+    let out = program.folder.clone();
+    std::fs::create_dir_all(&out).map_err(|e| format!("{}: {e}", out.display()))?;
+    let played = play::play(scenario.clone(), program, bar).await?;
+    // A run cut short leaves requests open that nobody can be blamed for.
+    let breaches =
+        if played.interrupted { Vec::new() } else { judge::judge(&played.records, &scenario.rules()) };
+    let figures = report::figures(&scenario, &played, &breaches);
+    let lines = played.records.iter().map(|record| serde_json::to_string(record).map(|line| line + "\n"));
+    let seen: String = lines.collect::<Result<_, _>>().map_err(|e| e.to_string())?;
+    write(&out.join("seen.jsonl"), &seen)?;
+    write(&out.join("figures.json"), &serde_json::to_string_pretty(&figures).map_err(|e| e.to_string())?)?;
+    write(&out.join("report.html"), &report::page(&scenario, &played, &figures, &breaches))?;
+    for breach in breaches.iter().take(5) {
+        eprint!("BROKEN RULE {breach}");
+    }
+    if breaches.len() > 5 {
+        eprintln!("... and {} more; see the report", breaches.len() - 5);
+    }
+    played.crashes.iter().for_each(|crash| eprintln!("CRASH {crash}"));
+    let code = match (breaches.is_empty() && played.crashes.is_empty(), figures.valid) {
+        (false, _) => 1,
+        (true, false) => 3,
+        (true, true) => 0,
+    };
+    Ok((figures, code))
+}
--- /dev/null
+++ b/crates/lab/src/nodes.rs
@@ -0,0 +1,234 @@
+//! Owns the nodes under test as processes: their configuration, their start, signals and end, and what they cost. It must
+//! never look into one.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use curlewusher_model::span;
+use rustix::process::{Pid, Signal, kill_process};
+use serde::Serialize;
+use serde_json::json;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::scenario::{ClassRepeats, DEDUP_WINDOW, FALL_WINDOW, OVERLOAD_FACTOR, Scenario};
+
+/// A node says where it serves within this, and is ready within the second.
+const SERVES_WITHIN: Duration = Duration::from_secs(10);
+const READY_WITHIN: Duration = Duration::from_secs(15);
+/// Lines of its log that are kept to show when it fails.
+const LINES: usize = 12;
+
+/// What a node cost up to a moment.
+#[derive(Clone, Debug, Serialize)]
+pub struct Sample {
+    pub at_s: f64,
+    pub node: usize,
+    /// Processor time of its process so far, s.
+    pub cpu_s: f64,
+    pub memory_mb: f64,
+    pub descriptors: usize,
+}
+
+/// What every node is started by.
+#[derive(Clone)]
+pub struct Program {
+    pub path: PathBuf,
+    pub arguments: Vec<String>,
+    /// Where configurations and logs go.
+    pub folder: PathBuf,
+}
+
+/// A node's process.
+pub struct Node {
+    pub number: usize,
+    pub address: SocketAddr,
+    pub child: Child,
+    config: PathBuf,
+    lines: Arc<Mutex<VecDeque<String>>>,
+}
+
+/// The platform's file for a node.
+pub fn config(scenario: &Scenario, number: usize, listen: SocketAddr, discovery: SocketAddr) -> String {
+    let services: Vec<_> = scenario
+        .classes
+        .iter()
+        .map(|class| {
+            let (idempotency, scope, window) = match class.repeats {
+                ClassRepeats::Safe => ("safe", "", 0),
+                ClassRepeats::Keyed => ("keyed", "cell", DEDUP_WINDOW),
+                ClassRepeats::Unsafe => ("unsafe", "", 0),
+            };
+            json!({"name": class.name, "idempotency": idempotency, "keyScope": scope, "dedupWindowUs": window,
+                "objectiveUs": span(class.aim_s), "aimStretch": class.stretch, "giveUpUs": span(class.give_up_s),
+                "worth": class.worth})
+        })
+        .collect();
+    let kinds: Vec<_> = scenario.fleet.kinds.iter().map(|kind| kind.name.as_str()).collect();
+    let file = json!({
+        "name": format!("n{number}"), "listen": listen, "discovery": discovery,
+        "seed": format!("{:016x}", scenario.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ number as u64),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": scenario.nodes.descriptors},
+        "known": {"index": 0, "snapshot": true, "endpoints": []},
+        "settings": {
+            "balancers": scenario.nodes.count, "rank": number, "zone": 0, "discovery": "subscribe",
+            "localities": ["lab"], "kinds": kinds, "services": services,
+            "familyInfo": {"classKind": vec![-1; services.len()], "tellsStart": true},
+            "limits": {"cancel": true, "mayDuplicate": false, "mayTell": false, "sendCap": 3, "retryAfter": false,
+                "maxRetryAfterUs": 2_000_000, "connectTimeoutUs": 150_000, "keepaliveUs": 30_000_000},
+            "rules": {"askWithinUs": 10_000_000, "coldShare": scenario.fleet.cold_share,
+                "warmUpUs": span(scenario.fleet.warm_up_s), "overloadFactor": OVERLOAD_FACTOR, "fallUs": FALL_WINDOW},
+        },
+    });
+    file.to_string()
+}
+
+impl Node {
+    /// Starts a node, and returns once it is ready to serve. The error shows the last lines that it wrote.
+    pub async fn start(
+        program: &Program,
+        scenario: &Scenario,
+        number: usize,
+        listen: SocketAddr,
+        discovery: SocketAddr,
+    ) -> Result<Node, String> {
+        let place = program.folder.join(format!("n{number}.json"));
+        write(&place, &config(scenario, number, listen, discovery))?;
+        // The shell lowers its own limit and then becomes the program, so that signals reach that.
+        let mut command = Command::new("/bin/sh");
+        command
+            .args(["-c", r#"ulimit -n "$0" && exec "$@""#, &scenario.nodes.descriptors.to_string()])
+            .arg(&program.path)
+            .args(&program.arguments)
+            .env("RELAY_CONFIG", &place)
+            .env_remove("RELAY_NAME")
+            .env_remove("RELAY_LISTEN")
+            .env_remove("RELAY_DISCOVERY")
+            .env_remove("CURLEWUSHER_OPERATOR")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true);
+        if let Some(file) = &scenario.nodes.operator {
+            command.env("CURLEWUSHER_OPERATOR", file);
+        }
+        let mut child =
+            command.spawn().map_err(|e| format!("node {number}: {}: {e}", program.path.display()))?;
+        let Some(stderr) = child.stderr.take() else {
+            return Err(format!("node {number}: no standard error"));
+        };
+        let lines: Arc<Mutex<VecDeque<String>>> = Arc::default();
+        let (said, serves) = oneshot::channel();
+        let log = program.folder.join(format!("n{number}.log"));
+        tokio::spawn(keep_lines(stderr, log, lines.clone(), said));
+        let failed = |why: &str, lines: &Mutex<VecDeque<String>>| {
+            let lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
+            let shown: String = lines.iter().map(|line| format!("\n    {line}")).collect();
+            format!(
+                "node {number} {why}; its last lines:{}",
+                if shown.is_empty() { "\n    (none)" } else { &shown }
+            )
+        };
+        let address = match timeout(SERVES_WITHIN, serves).await {
+            Ok(Ok(address)) => address,
+            Ok(Err(_)) => return Err(failed("ended before it served", &lines)),
+            Err(_) => return Err(failed("did not say where it serves", &lines)),
+        };
+        let node = Node { number, address, child, config: place, lines };
+        let until = Instant::now() + READY_WITHIN;
+        while !ready(address).await {
+            if Instant::now() > until {
+                return Err(failed("did not become ready", &node.lines));
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        Ok(node)
+    }
+
+    /// The last lines that it wrote.
+    pub fn last_lines(&self) -> Vec<String> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner).iter().cloned().collect()
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let id = self.child.id().and_then(|id| Pid::from_raw(id as i32));
+        if let Some(id) = id {
+            // One that has just ended needs no signal.
+            let _ = kill_process(id, signal);
+        }
+    }
+
+    /// Writes its configuration anew with another discovery, and has it read.
+    pub fn move_discovery(&self, scenario: &Scenario, discovery: SocketAddr) -> Result<(), String> {
+        write(&self.config, &config(scenario, self.number, self.address, discovery))?;
+        self.signal(Signal::HUP);
+        Ok(())
+    }
+}
+
+fn write(path: &Path, text: &str) -> Result<(), String> {
+    std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+/// Keeps all lines in a file and the last ones at hand, and says the address that the first of them names.
+async fn keep_lines(
+    stderr: tokio::process::ChildStderr,
+    file: PathBuf,
+    lines: Arc<Mutex<VecDeque<String>>>,
+    said: oneshot::Sender<SocketAddr>,
+) {
+    use std::io::Write;
+    let mut file = std::fs::OpenOptions::new().create(true).append(true).open(file).ok();
+    let mut said = Some(said);
+    let mut read = BufReader::new(stderr).lines();
+    while let Ok(Some(line)) = read.next_line().await {
+        let address =
+            line.split("serves on ").nth(1).and_then(|rest| rest.split(['"', ' ']).next()?.parse().ok());
+        if let (Some(address), Some(say)) = (address, said.take_if(|_| address.is_some())) {
+            let _ = say.send(address);
+        }
+        if let Some(file) = &mut file {
+            let _ = writeln!(file, "{line}");
+        }
+        let mut lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.push_back(line);
+        if lines.len() > LINES {
+            lines.pop_front();
+        }
+    }
+}
+
+/// Whether a node says that it is ready.
+pub async fn ready(address: SocketAddr) -> bool {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let ask = async {
+        let mut stream = tokio::net::TcpStream::connect(address).await.ok()?;
+        stream.write_all(b"GET /ready HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n").await.ok()?;
+        let mut head = [0; 12];
+        stream.read_exact(&mut head).await.ok()?;
+        Some(head == *b"HTTP/1.1 200")
+    };
+    timeout(Duration::from_secs(1), ask).await.ok().flatten() == Some(true)
+}
+
+/// What a process has cost, as the system tells it; none once it is gone.
+pub fn cost(process: u32, node: usize, at_s: f64) -> Option<Sample> {
+    let read = |what: &str| std::fs::read_to_string(format!("/proc/{process}/{what}")).ok();
+    let stat = read("stat")?;
+    // The name in brackets may hold anything; figures come behind it.
+    let figures: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
+    let ticks: f64 = figures.get(11)?.parse::<f64>().ok()? + figures.get(12)?.parse::<f64>().ok()?;
+    let status = read("status")?;
+    let kilobytes: f64 = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:")?.split_whitespace().next()?.parse().ok())?;
+    let descriptors = std::fs::read_dir(format!("/proc/{process}/fd")).ok()?.count();
+    let per_s = rustix::param::clock_ticks_per_second() as f64;
+    Some(Sample { at_s, node, cpu_s: ticks / per_s, memory_mb: kilobytes / 1024.0, descriptors })
+}
--- /dev/null
+++ b/crates/lab/src/play.rs
@@ -0,0 +1,276 @@
+//! Owns a run from its first process to its last: the order of start and end, the faults at their times, and the samples
+//! of cost. It must never judge what happened.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, PoisonError};
+use std::time::Duration;
+
+use curlewusher_model::span;
+use indicatif::{ProgressBar, ProgressStyle};
+use rustix::process::Signal;
+use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+
+use crate::fleet::{Fleet, NodePlaces, Order, Tries};
+use crate::load::{Clients, Front};
+use crate::nodes::{Node, Program, Sample, cost, ready};
+use crate::record::{Log, Record, What};
+use crate::scenario::{Fault, FaultKind, Scenario};
+
+/// The front notices that a node ends or has died after this.
+const FRONT_HEARS_END: Duration = Duration::from_millis(300);
+const FRONT_HEARS_DEATH: Duration = Duration::from_millis(2000);
+/// SIGKILL comes so long after SIGTERM, or after the longest time of a class where that is longer, and 0.7 s.
+const KILL_AT_LEAST: Duration = Duration::from_millis(3000);
+const KILL_GRACE: Duration = Duration::from_millis(700);
+/// A drained worker has left after this.
+const WORKER_DRAINS: Duration = Duration::from_secs(5);
+const SAMPLES: Duration = Duration::from_millis(500);
+
+/// What a run left.
+pub struct Played {
+    pub records: Vec<Record>,
+    pub samples: Vec<Sample>,
+    /// When the load began and when it was over, microseconds of the records.
+    pub begin: u64,
+    pub end: u64,
+    /// What went wrong with a node's process beyond the scenario, with its last lines.
+    pub crashes: Vec<String>,
+    /// It was ended before its time.
+    pub interrupted: bool,
+}
+
+struct Stage {
+    scenario: Arc<Scenario>,
+    program: Program,
+    fleet: Fleet,
+    front: Arc<Front>,
+    places: NodePlaces,
+    log: Log,
+    nodes: Vec<Mutex<Option<Node>>>,
+    crashes: std::sync::Mutex<Vec<String>>,
+}
+
+/// Plays a scenario to its end, or until the process is interrupted: then all children end and what was seen remains.
+pub async fn play(scenario: Scenario, program: Program, bar: bool) -> Result<Played, String> {
+    let scenario = Arc::new(scenario);
+    let jobs = Arc::new(scenario.wish().draw());
+    let (log, tries) = (Log::new(), Tries::default());
+    let places: NodePlaces = Arc::new(std::sync::Mutex::new(vec![None; scenario.nodes.count]));
+    let fleet = Fleet::start(&scenario, jobs.clone(), tries.clone(), places.clone(), log.clone()).await?;
+    let front = Arc::new(Front::new(scenario.nodes.count, places.clone()));
+    let stage = Arc::new(Stage {
+        nodes: (0..scenario.nodes.count).map(|_| Mutex::new(None)).collect(),
+        scenario: scenario.clone(),
+        program,
+        fleet,
+        front: front.clone(),
+        places,
+        log: log.clone(),
+        crashes: std::sync::Mutex::default(),
+    });
+    for node in 0..scenario.nodes.count {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        stage.start_node(node, any).await?;
+    }
+    let begin = log.now() + 200_000;
+    let done = Arc::new(AtomicUsize::new(0));
+    let mut tasks = JoinSet::new();
+    for fault in scenario.faults.clone() {
+        let stage = stage.clone();
+        tasks.spawn(async move { stage.fault(fault, begin).await });
+    }
+    let samples = Arc::new(std::sync::Mutex::new(Vec::new()));
+    let (watched, kept) = (stage.clone(), samples.clone());
+    let sampling = tokio::spawn(async move { watched.sample(kept).await });
+    let all = jobs.len();
+    let clients = Arc::new(Clients::new(scenario.clone(), jobs, tries, front, log.clone()));
+    let shown = if bar { ProgressBar::new(all as u64) } else { ProgressBar::hidden() };
+    let style = "{elapsed_precise} {wide_bar} {pos}/{len} jobs ended";
+    shown.set_style(ProgressStyle::with_template(style).unwrap_or_else(|_| ProgressStyle::default_bar()));
+    let mut load = tokio::spawn(clients.run(begin, done.clone()));
+    let interrupted = loop {
+        shown.set_position(done.load(Ordering::Relaxed) as u64);
+        tokio::select! {
+            _ = &mut load => break false,
+            _ = tokio::signal::ctrl_c() => break true,
+            () = sleep(Duration::from_millis(100)) => {}
+        }
+    };
+    shown.finish_and_clear();
+    load.abort();
+    let end = log.now();
+    tasks.shutdown().await;
+    stage.end(interrupted).await;
+    sampling.abort();
+    let crashes = std::mem::take(&mut *stage.crashes.lock().unwrap_or_else(PoisonError::into_inner));
+    let samples = std::mem::take(&mut *samples.lock().unwrap_or_else(PoisonError::into_inner));
+    Ok(Played { records: log.take(), samples, begin, end, crashes, interrupted })
+}
+
+impl Stage {
+    async fn start_node(&self, number: usize, listen: SocketAddr) -> Result<(), String> {
+        let discovery = self.fleet.discovery_for(number).await?;
+        let node = Node::start(&self.program, &self.scenario, number, listen, discovery).await?;
+        self.places.lock().unwrap_or_else(PoisonError::into_inner)[number] = Some(node.address);
+        *self.nodes[number].lock().await = Some(node);
+        self.log.add(What::NodeReady { node: number });
+        self.front.admit(number, true);
+        Ok(())
+    }
+
+    fn crashed(&self, words: String) {
+        self.crashes.lock().unwrap_or_else(PoisonError::into_inner).push(words);
+    }
+
+    async fn sample(&self, into: Arc<std::sync::Mutex<Vec<Sample>>>) {
+        loop {
+            for (number, node) in self.nodes.iter().enumerate() {
+                let mut held = node.lock().await;
+                let Some(node) = held.as_mut() else { continue };
+                if let Ok(Some(status)) = node.child.try_wait() {
+                    // Nobody told it to end: whoever does takes it out first.
+                    let lines = node.last_lines().join("\n    ");
+                    self.crashed(format!(
+                        "node {number} ended by itself, {status}; its last lines:\n    {lines}"
+                    ));
+                    self.log.add(What::NodeGone { node: number, killed: false });
+                    self.front.admit(number, false);
+                    *held = None;
+                    continue;
+                }
+                let at_s = self.log.now() as f64 / 1e6;
+                let sample = node.child.id().and_then(|id| cost(id, number, at_s));
+                into.lock().unwrap_or_else(PoisonError::into_inner).extend(sample);
+            }
+            sleep(SAMPLES).await;
+        }
+    }
+
+    async fn fault(&self, fault: Fault, begin: u64) {
+        let instant = |s: f64| self.log.instant(begin + span(s));
+        let targets = self.scenario.targets(&fault);
+        sleep_until(instant(fault.at_s)).await;
+        let words = |moment: &str| format!("{:?} of {targets:?} {moment}", fault.kind);
+        self.log.add(What::Fault { words: words("begins") });
+        let until = fault.for_s.map(|s| instant(fault.at_s + s));
+        let ends = async {
+            match until {
+                Some(until) => sleep_until(until).await,
+                None => std::future::pending().await,
+            }
+        };
+        let order = |order: fn(usize) -> Order| targets.iter().for_each(|w| self.fleet.order(order(*w)));
+        match fault.kind {
+            FaultKind::Kill => {
+                order(Order::Kill);
+                ends.await;
+                order(Order::Start);
+            }
+            FaultKind::Silent => {
+                order(|w| Order::Silent(w, true));
+                ends.await;
+                order(|w| Order::Silent(w, false));
+            }
+            FaultKind::Slow => {
+                let factor = fault.factor.unwrap_or(1.0);
+                targets.iter().for_each(|w| self.fleet.order(Order::Slow(*w, factor)));
+                ends.await;
+                order(|w| Order::Slow(w, 1.0));
+            }
+            FaultKind::Drain => {
+                order(Order::Drain);
+                sleep(WORKER_DRAINS).await;
+                order(Order::Kill);
+                ends.await;
+                order(Order::Start);
+            }
+            FaultKind::Grow => order(Order::Start),
+            FaultKind::DiscoveryDown => {
+                self.fleet.order(Order::DiscoveryDown(true));
+                ends.await;
+                self.fleet.order(Order::DiscoveryDown(false));
+            }
+            FaultKind::Reload => {
+                for node in targets.iter().copied() {
+                    let Ok(discovery) = self.fleet.discovery_for(node).await else { continue };
+                    if let Some(node) = &*self.nodes[node].lock().await
+                        && let Err(problem) = node.move_discovery(&self.scenario, discovery)
+                    {
+                        self.crashed(problem);
+                    }
+                }
+            }
+            FaultKind::NodeStop | FaultKind::NodeKill => {
+                let kill = fault.kind == FaultKind::NodeKill;
+                for number in targets.iter().copied() {
+                    let taken = self.nodes[number].lock().await.take();
+                    let Some(node) = taken else { continue };
+                    let address = node.address;
+                    self.end_node(node, kill, true).await;
+                    if let Some(s) = fault.for_s {
+                        // Counted from its end: a restart does not overlap the drain.
+                        sleep(Duration::from_secs_f64(s)).await;
+                        if let Err(problem) = self.start_node(number, address).await {
+                            self.crashed(problem);
+                        }
+                    }
+                }
+            }
+        }
+        self.log.add(What::Fault { words: words("ends") });
+    }
+
+    /// Ends a node; the front hears of it in its own time.
+    async fn end_node(&self, mut node: Node, kill: bool, heard: bool) {
+        let number = node.number;
+        let hears = async {
+            sleep(if kill { FRONT_HEARS_DEATH } else { FRONT_HEARS_END }).await;
+            self.front.admit(number, false);
+        };
+        let ends = async {
+            if kill {
+                let _ = node.child.kill().await;
+                return self.log.add(What::NodeGone { node: number, killed: true });
+            }
+            self.log.add(What::NodeToldToEnd { node: number });
+            node.signal(Signal::TERM);
+            let longest = self.scenario.classes.iter().map(|class| class.give_up_s).fold(0.0, f64::max);
+            let last = Instant::now() + KILL_AT_LEAST.max(Duration::from_secs_f64(longest)) + KILL_GRACE;
+            let ended = timeout_at(last, node.child.wait()).await;
+            match ended {
+                Ok(Ok(status)) if status.success() => {}
+                Ok(status) => {
+                    let lines = node.last_lines().join("\n    ");
+                    self.crashed(format!(
+                        "node {number} ended badly, {status:?}; its last lines:\n    {lines}"
+                    ));
+                }
+                Err(_) => {
+                    let _ = node.child.kill().await;
+                    return self.log.add(What::NodeGone { node: number, killed: true });
+                }
+            }
+            self.log.add(What::NodeGone { node: number, killed: false });
+        };
+        if heard {
+            // Its place is taken by its next process only once the front has heard of the end of this one.
+            tokio::join!(hears, ends);
+        } else {
+            ends.await;
+        }
+    }
+
+    /// Ends all nodes, and looks whether each that should be there still serves.
+    async fn end(&self, interrupted: bool) {
+        for (number, held) in self.nodes.iter().enumerate() {
+            let Some(node) = held.lock().await.take() else { continue };
+            if !interrupted && !ready(node.address).await {
+                self.crashed(format!("node {number} is not ready at the end of the load"));
+            }
+            let _ = timeout(Duration::from_secs(40), self.end_node(node, interrupted, false)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/lab.rs
@@ -0,0 +1,146 @@
+//! The laboratory as a process: a short scenario on the real node, the judge against scripted nodes that each break one
+//! rule, and what is said when a run cannot begin. No times are asserted.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+const SMOKE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios/smoke.toml");
+
+fn folder(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(name)
+}
+
+fn run(scenario: &str, name: &str, more: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_curlewusher-lab"))
+        .args(["run", scenario, "--quiet", "--out"])
+        .arg(folder(name))
+        .args(more)
+        .output()
+        .expect("the lab starts")
+}
+
+fn text(bytes: &[u8]) -> &str {
+    std::str::from_utf8(bytes).expect("text")
+}
+
+fn figures(name: &str) -> serde_json::Value {
+    let text = std::fs::read_to_string(folder(name).join("figures.json")).expect("figures");
+    serde_json::from_str(&text).expect("JSON")
+}
+
+#[test]
+fn a_short_scenario_on_the_real_node_keeps_all_rules_and_leaves_a_report() {
+    let node = Path::new(env!("CARGO_BIN_EXE_curlewusher-lab")).with_file_name("curlewusher");
+    assert!(node.is_file(), "build the node first: cargo test --workspace does");
+    let out = run(SMOKE, "smoke", &[]);
+    // 3 says that a busy machine made the load late, which is no fault of the node.
+    assert!(matches!(out.status.code(), Some(0 | 3)), "{out:?}");
+    let figures = figures("smoke");
+    let count = |field: &str| figures[field].as_u64();
+    assert_eq!((count("jobs"), count("broken_rules"), count("crashes")), (Some(120), Some(0), Some(0)));
+    let classes = figures["classes"].as_array().expect("classes");
+    let of = |field: &str| classes.iter().map(|class| class[field].as_u64().expect("a count")).sum::<u64>();
+    assert_eq!(of("in_time") + of("late") + of("refused") + of("failed"), 120, "each job has one end");
+    let page = std::fs::read_to_string(folder("smoke").join("report.html")).expect("a report");
+    assert!(page.matches("<svg").count() >= 5 && page.contains("Reload of") && !page.contains("src=\""));
+    let seen = std::fs::read_to_string(folder("smoke").join("seen.jsonl")).expect("what was seen");
+    assert!(seen.lines().all(|line| serde_json::from_str::<serde_json::Value>(line).is_ok()));
+}
+
+const HARD: &str = r#"
+title = "every rule in reach"
+seed = 3
+length_s = 5.0
+[nodes]
+count = 1
+[fleet]
+workers = 6
+list_late_s = 0.1
+fetch_s = 0.02
+[load]
+rate = 40.0
+retries = 0
+[[class]]
+name = "order"
+share = 1.0
+mean_s = 0.15
+repeats = "unsafe"
+aim_s = 1.0
+stretch = 2.0
+give_up_s = 3.0
+worth = 1.0
+[[fault]]
+at_s = 0.5
+kind = "drain"
+of = [1]
+[[fault]]
+at_s = 1.0
+kind = "kill"
+share = 0.17
+for_s = 0.5
+[[fault]]
+at_s = 1.5
+kind = "grow"
+of = [6]
+"#;
+
+#[test]
+fn the_judge_finds_each_rule_that_a_scripted_node_breaks_and_is_silent_on_one_that_keeps_them() {
+    let file = folder("hard.toml");
+    std::fs::write(&file, HARD).expect("a place");
+    let file = file.to_str().expect("a path");
+    let flaws = [
+        ("none", None),
+        ("lost-answer", Some("OneAnswer")),
+        ("forged-result", Some("no worker made")),
+        ("two-at-once", Some("while an attempt of it was out")),
+        ("run-again", Some("went out again and may have run")),
+        ("wrong-refusal", Some("was refused, which calls a repeat harmless")),
+        ("deaf-to-drains", Some("QuietDrain")),
+        ("rush-to-the-new", Some("GentleStart")),
+        ("crash", Some("CRASH node 0 ended by itself")),
+    ];
+    std::thread::scope(|scope| {
+        for (flaw, words) in flaws {
+            scope.spawn(move || {
+                let out = run(file, &format!("judge-{flaw}"), &["--scripted", flaw]);
+                let said = text(&out.stderr);
+                match words {
+                    None => assert!(matches!(out.status.code(), Some(0 | 3)) && said.is_empty(), "{said}"),
+                    Some(words) => {
+                        assert!(out.status.code() == Some(1) && said.contains(words), "{flaw}: {said}");
+                        // A request's own time-line, for a person to read.
+                        assert!(flaw == "crash" || said.contains(" s  "), "{flaw}: {said}");
+                    }
+                }
+            });
+        }
+    });
+}
+
+#[test]
+fn a_run_that_cannot_begin_says_why_and_leaves_nothing_running() {
+    let bad = folder("bad.toml");
+    std::fs::write(&bad, HARD.replace("rate = 40.0", "rate = -1")).expect("a place");
+    let out = run(bad.to_str().expect("a path"), "bad", &[]);
+    let said = text(&out.stderr);
+    assert!(out.status.code() == Some(2) && said.contains("bad.toml: line 11: load.rate"), "{said}");
+    assert!(!folder("bad").exists(), "nothing was started");
+
+    let out = run(SMOKE, "absent", &["--node", "no-such-program"]);
+    assert!(
+        out.status.code() == Some(2) && text(&out.stderr).contains("no program at no-such-program"),
+        "{out:?}"
+    );
+
+    // A node that ends at once: its own words are shown.
+    let broken = folder("broken-node");
+    std::fs::write(&broken, "#!/bin/sh\necho 'the moon is in the wrong house' >&2\nexit 1\n")
+        .expect("a place");
+    let mode = std::os::unix::fs::PermissionsExt::from_mode(0o755);
+    std::fs::set_permissions(&broken, mode).expect("a mode");
+    let out = run(SMOKE, "broken", &["--node", broken.to_str().expect("a path")]);
+    let said = text(&out.stderr);
+    assert!(out.status.code() == Some(2) && said.contains("node 0 ended before it served"), "{said}");
+    assert!(said.contains("the moon is in the wrong house"), "{said}");
+}
