Withdraw by name a job that is given up while its 202 is on its way

Cause: a node that was behind with its reading gave an attempt up by closing the connection, though the worker had already written its 202.

Change: an attempt given up before its 202 was read waits 20 ms for it. If it comes, the job is withdrawn by DELETE before the next attempt; a request handed back unwritten in that time is not written again.

Result: a test that holds the node still while its client leaves and the 202 is written sees a DELETE each time, and fails without the change.

--- a/crates/node/src/next_hop.rs
+++ b/crates/node/src/next_hop.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::future::pending;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -35,6 +36,9 @@
 const LONGEST_BODY: usize = 64 << 10;
 /// After the end of an attempt its 202 is waited for so long, to keep the connection.
 const LATE_ACCEPTANCE: Duration = Duration::from_millis(2000);
+/// An attempt that is given up before its 202 was read waits for it so long: it may be on its way, and closing the
+/// connection gives up only what was not taken on.
+const CROSSING: Duration = Duration::from_millis(20);
 /// Idle connections are looked through this often.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -198,13 +202,17 @@
         let DeliveryAttempt { key, id, to, parcel, wait, give_up } = attempt;
         let mut give_up = Some(give_up);
         let request = || parcel.request(to, wait);
-        let exchange = self.exchange(to, request, &mut give_up, wait + LATE_ACCEPTANCE).await;
+        let mut crossed = false;
+        let exchange = self.exchange(to, request, &mut give_up, &mut crossed, wait + LATE_ACCEPTANCE).await;
         let outcome = match exchange {
             Exchange::Answered(StatusCode::ACCEPTED, _) => {
                 self.report(Notice::Accepted(key)).await;
-                if let Some(asked) = give_up
-                    && asked.await.is_ok()
-                {
+                let given_up = match give_up {
+                    Some(asked) => asked.await.is_ok(),
+                    // It was asked for while the 202 was on its way.
+                    None => crossed,
+                };
+                if given_up {
                     self.withdraw(to, &id).await;
                     self.report(Notice::GivenUp(key)).await;
                 }
@@ -238,7 +246,8 @@
         };
         // One that cannot be told is out of reach; nothing more can be done there.
         let longest = self.0.tuning.get().withdrawal_ms.millis();
-        if !matches!(self.exchange(to, request, &mut None, longest).await, Exchange::Answered(..)) {
+        if !matches!(self.exchange(to, request, &mut None, &mut false, longest).await, Exchange::Answered(..))
+        {
             debug!(target: NEXT_HOP, request_id = id, %to, "withdrawal not answered");
         }
     }
@@ -250,6 +259,7 @@
         to: SocketAddr,
         request: impl Fn() -> Result<Request<Full<Bytes>>, hyper::http::Error>,
         give_up: &mut Option<oneshot::Receiver<()>>,
+        crossed: &mut bool,
         longest: Duration,
     ) -> Exchange {
         let Ok(mut request) = request() else { return Exchange::Unreachable };
@@ -266,10 +276,17 @@
                     }
                 },
             };
-            let sent = tokio::select! {
-                biased;
-                () = told_to_give_up(give_up) => None,
-                sent = timeout(longest, send(&mut link.sender, request)) => Some(sent),
+            let sent = {
+                let mut sending = pin!(timeout(longest, send(&mut link.sender, request)));
+                tokio::select! {
+                    biased;
+                    () = told_to_give_up(give_up) => {
+                        let answered = timeout(CROSSING, sending.as_mut()).await.ok();
+                        *crossed = answered.is_some();
+                        answered
+                    }
+                    sent = sending.as_mut() => Some(sent),
+                }
             };
             match sent {
                 None => {
@@ -282,7 +299,7 @@
                     tokio::task::spawn_local(self.clone().keep(to, link, response));
                     return Exchange::Answered(status, not_run);
                 }
-                Some(Ok(Err((Broken::Unsent, Some(back))))) if link.reused => request = back,
+                Some(Ok(Err((Broken::Unsent, Some(back))))) if link.reused && !*crossed => request = back,
                 Some(Ok(Err((Broken::Unsent, _)))) => return Exchange::Unreachable,
                 Some(Ok(Err((Broken::InDoubt, _))) | Err(_)) => return Exchange::InDoubt,
             }
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -113,6 +113,23 @@
     assert_eq!(node.count("curlewusher_delivery_attempts_total"), 2);
 }
 
+#[test]
+fn a_job_given_up_while_its_202_is_on_its_way_is_withdrawn_by_name() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    for id in ["r1", "r2", "r3", "r4"] {
+        let client = write(node.address, &job(id, "view", 5.0, ""));
+        let got = hop.request();
+        // Held still, the node finds both when it goes on: that its client has left, and the 202.
+        node.signal("-STOP");
+        drop(client);
+        got.answer("202 Accepted");
+        node.signal("-CONT");
+        // Closing the connection would leave the job to run, and another attempt beside it.
+        assert_eq!(hop.request().message.start, format!("DELETE /jobs/{id} HTTP/1.1"));
+    }
+}
+
 #[test]
 fn a_client_that_closes_is_gone_and_its_job_withdrawn() {
     let hop = Server::start();
