Look through the line as deep as the fleet is large

A line was looked at until eight jobs in it had fitted nowhere; at 126 jobs a second a node nearly always has eight such, and all behind them waited until they were refused.

Change: as many as half of the node's near workers may be passed over, eight at least, so that up to 16 near workers nothing differs.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -46,8 +46,10 @@
 pub(crate) const OVERRUN: f64 = 0.35;
 /// A job that can still be in time goes out at the latest this long before it no longer can, s.
 const LAST_CALL: f64 = 0.1;
-/// Jobs in line that are passed over, for want of a worker, before looking again later.
-const PASSED_MOST: u32 = 8;
+/// Jobs in line that are passed over, for want of a worker, before looking again later; or one for so many of this
+/// node's workers where that is more: eight that fit nowhere must not stop all behind them in a large fleet.
+const PASSED_MOST: usize = 8;
+const PASSED_PART: usize = 2;
 /// Aims grow with a job's true work, which may be less than its hint: only this share of it is relied on.
 const SURE: f64 = 0.3;
 /// Jobs are sent to queue at a worker for no longer than this, s.
@@ -405,9 +407,10 @@
         self.survey_all(now);
         let lost = self.lost.get(now, LOST_SPAN) / self.asked_for.get(now, LOST_SPAN).max(1e-9);
         self.held_back = (SPARED * lost).min(1.0);
+        let passed_most = PASSED_MOST.max(self.fleet.near.len() / PASSED_PART);
         let mut passed = 0;
         let mut last = None;
-        while passed < PASSED_MOST {
+        while passed < passed_most {
             let from = last.map_or(Bound::Unbounded, Bound::Excluded);
             let Some(&place) = self.line.range((from, Bound::Unbounded)).next() else { return };
             last = Some(place);
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -408,6 +408,18 @@
     assert!(matches!(sent(&out), Some(7 | 23)), "{out:?}");
 }
 
+#[test]
+fn jobs_that_fit_nowhere_do_not_stop_those_behind_them_in_a_large_fleet() {
+    let mut s = settings();
+    s.classes[0].kind = Some(KindId(9));
+    let last = s.classes.len() - 1;
+    let mut node = Node::new(s, &fleet(32));
+    for id in 1..=10 {
+        assert_eq!(sent(&node.offer(id, 0, 0.01)), None, "no worker is of that kind");
+    }
+    assert!(sent(&node.offer(11, last, 0.01)).is_some());
+}
+
 #[test]
 fn a_new_worker_borrows_the_speed_of_its_kind() {
     let mut workers = fleet(4);
