--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -46,8 +46,8 @@
 pub(crate) const OVERRUN: f64 = 0.35;
 /// A job that can still be in time goes out at the latest this long before it no longer can, s.
 const LAST_CALL: f64 = 0.1;
-/// Jobs in line that are passed over, for want of a worker, before looking again later; or one for so many of this
-/// node's workers where that is more: eight that fit nowhere must not stop all behind them in a large fleet.
+/// Jobs in line that are passed over, for want of a worker, before looking again later; or one for so many of
+/// this node's workers where that is more: in a large fleet, eight that fit nowhere must not stop the rest.
 const PASSED_MOST: usize = 8;
 const PASSED_PART: usize = 2;
 /// Aims grow with a job's true work, which may be less than its hint: only this share of it is relied on.
