Review: bounds for every scenario figure, ports held for their workers, one TOML reader

Change: crates/files reads TOML for operator's file and scenarios; each figure has bounds, and a mistake is placed at its own line; a worker's port is reserved by a second socket while nothing listens there; nodes start in a group of their own, so that Ctrl-C reaches the lab only, also before the load; a node that must be killed after SIGTERM is told as a crash; config.rs apart from lifecycle.rs; statrs and parking_lot in place of own code.

--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -2,6 +2,7 @@
 //! anything; it is given the figures of both sides.
 
 use serde::Serialize;
+use statrs::distribution::{ContinuousCDF, StudentsT};
 
 use crate::report::Figures;
 
@@ -24,12 +25,6 @@
     }
 }
 
-/// Two-sided 95 % points of Student's t for 1 to 30 degrees of freedom; beyond that the normal one is near enough.
-const T: [f64; 30] = [
-    12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145, 2.131,
-    2.120, 2.110, 2.101, 2.093, 2.086, 2.080, 2.074, 2.069, 2.064, 2.060, 2.056, 2.052, 2.048, 2.045, 2.042,
-];
-
 /// Compares runs of the same scenario and seeds; each pair must be of one seed, and runs that are not valid do not count.
 pub fn compare(pairs: &[(Figures, Figures)]) -> Result<Comparison, String> {
     if let Some((a, b)) = pairs.iter().find(|(a, b)| a.seed != b.seed || a.title != b.title) {
@@ -54,7 +49,8 @@
         f64::INFINITY
     } else {
         let variance = shares.iter().map(|(_, a, b)| (b - a - mean).powi(2)).sum::<f64>() / (count - 1.0);
-        T.get(shares.len() - 2).copied().unwrap_or(1.96) * (variance / count).sqrt()
+        let student = StudentsT::new(0.0, 1.0, count - 1.0).map_err(|e| e.to_string())?;
+        student.inverse_cdf(0.975) * (variance / count).sqrt()
     };
     Ok(Comparison { pairs: shares.len(), mean, half, shares })
 }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -21,6 +21,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo};
+use parking_lot::Mutex;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{oneshot, watch};
@@ -34,6 +35,7 @@
 const CALL_WAIT: Duration = Duration::from_secs(2);
 /// A watch that has nothing to tell says so this often.
 const WATCH_BEAT: Duration = Duration::from_secs(2);
+const BACKLOG: u32 = 1024;
 /// A worker repeats a call-back that was not heard, so often and after so long.
 const CALLS: usize = 10;
 const CALL_AGAIN: Duration = Duration::from_millis(200);
@@ -47,11 +49,11 @@
 
 impl Tries {
     pub fn add(&self, id: &str, node: usize, job: usize) {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(id.to_owned(), (node, job));
+        self.0.lock().insert(id.to_owned(), (node, job));
     }
 
     fn get(&self, id: &str) -> Option<(usize, usize)> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).get(id).copied()
+        self.0.lock().get(id).copied()
     }
 }
 
@@ -150,7 +152,7 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.tasks.iter().for_each(JoinHandle::abort);
-        self.ports.lock().unwrap_or_else(PoisonError::into_inner).iter().for_each(|(_, task)| task.abort());
+        self.ports.lock().iter().for_each(|(_, task)| task.abort());
     }
 }
 
@@ -203,16 +205,14 @@
         let (queue, notices) = unbounded_channel();
         let (mut tasks, mut sockets, mut addresses) = (Vec::new(), Vec::new(), Vec::new());
         for worker in 0..machines.len() {
-            let listener =
-                TcpListener::bind("127.0.0.1:0").await.map_err(|e| format!("a worker's port: {e}"))?;
-            let address = listener.local_addr().map_err(|e| format!("a worker's port: {e}"))?;
-            addresses.push(address);
+            let port = Port::reserve().map_err(|e| format!("a worker's port: {e}"))?;
+            addresses.push(port.address);
             let first = if grown.contains(&worker) { Sockets::Closed } else { Sockets::Open };
             let (state, seen) = watch::channel(first);
             sockets.push(state);
             let hall =
                 Hall { worker, queue: queue.clone(), tries: tries.clone(), log: log.clone(), state: seen };
-            tasks.push(tokio::spawn(hall.listen(listener, address)));
+            tasks.push(tokio::spawn(hall.listen(port)));
         }
         let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
         let names = Names {
@@ -264,7 +264,7 @@
             TcpListener::bind("127.0.0.1:0").await.map_err(|e| format!("discovery's port: {e}"))?;
         let address = listener.local_addr().map_err(|e| format!("discovery's port: {e}"))?;
         let port = {
-            let mut next = self.next_port.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut next = self.next_port.lock();
             *next += 1;
             *next * 1000 + node as u64
         };
@@ -283,7 +283,7 @@
                 );
             }
         });
-        let mut ports = self.ports.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut ports = self.ports.lock();
         for (old, task) in ports.iter().filter(|(port, _)| port % 1000 == node as u64) {
             task.abort();
             let (old, queue) = (*old, self.queue.clone());
@@ -343,7 +343,33 @@
     Response::new(Either::Right(Lines(rest)))
 }
 
-/// The port of one worker.
+/// A port that nobody else is given, also while nothing listens there: a worker that is down must refuse, and must find
+/// its own port when it starts again.
+struct Port {
+    address: SocketAddr,
+    _held: socket2::Socket,
+}
+
+impl Port {
+    fn reserve() -> std::io::Result<Port> {
+        let held = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+        // Shared with the listener only: a socket that may be bound anew by anybody would not keep the port.
+        held.set_reuse_port(true)?;
+        held.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+        let address = held.local_addr()?.as_socket();
+        let address = address.ok_or_else(|| std::io::Error::other("the system gave no address"))?;
+        Ok(Port { address, _held: held })
+    }
+
+    fn listen(&self) -> std::io::Result<TcpListener> {
+        let socket = tokio::net::TcpSocket::new_v4()?;
+        socket.set_reuseport(true)?;
+        socket.bind(self.address)?;
+        socket.listen(BACKLOG)
+    }
+}
+
+/// What one worker listens by.
 #[derive(Clone)]
 struct Hall {
     worker: WorkerNo,
@@ -354,8 +380,8 @@
 }
 
 impl Hall {
-    async fn listen(mut self, listener: TcpListener, address: SocketAddr) {
-        let mut listener = Some(listener);
+    async fn listen(mut self, port: Port) {
+        let mut listener = None;
         loop {
             if *self.state.borrow_and_update() == Sockets::Closed {
                 listener = None;
@@ -365,9 +391,9 @@
                 continue;
             }
             let Some(open) = &listener else {
-                // Its own port may still be taken for a moment by what was reset.
-                match TcpListener::bind(address).await {
-                    Ok(again) => listener = Some(again),
+                match port.listen() {
+                    Ok(open) => listener = Some(open),
+                    // Out of descriptors, it may be: there is nothing better than to try again.
                     Err(_) => sleep(Duration::from_millis(20)).await,
                 }
                 continue;
@@ -723,7 +749,7 @@
         tokio::spawn(async move {
             while let Some(text) = waiting.recv().await {
                 for _ in 0..CALLS {
-                    let at = nodes.lock().unwrap_or_else(PoisonError::into_inner)[node];
+                    let at = nodes.lock()[node];
                     let heard = async {
                         let request = Request::post(format!("http://{}/callback", at?))
                             .body(Full::new(Bytes::from(text.clone())))
@@ -744,3 +770,21 @@
         calls
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn a_port_refuses_while_its_worker_is_down_and_is_given_to_nobody_else() {
+        let port = Port::reserve().expect("a port");
+        for _ in 0..2 {
+            let refused = tokio::net::TcpStream::connect(port.address).await.expect_err("nothing listens");
+            assert_eq!(refused.kind(), std::io::ErrorKind::ConnectionRefused);
+            assert!(std::net::TcpListener::bind(port.address).is_err(), "another cannot take it");
+            let listener = port.listen().expect("its own worker can");
+            let (up, _) = tokio::join!(tokio::net::TcpStream::connect(port.address), listener.accept());
+            assert!(up.is_ok());
+        }
+    }
+}
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -3,7 +3,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::PoisonError;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
@@ -55,7 +54,7 @@
         let well =
             (0..all).map(|n| (first + n) % all).find(|node| self.admitted[*node].load(Ordering::Relaxed));
         let node = well.unwrap_or(first % all);
-        (node, self.places.lock().unwrap_or_else(PoisonError::into_inner)[node])
+        (node, self.places.lock()[node])
     }
 }
 
--- a/crates/lab/src/nodes.rs
+++ b/crates/lab/src/nodes.rs
@@ -5,10 +5,11 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use curlewusher_model::span;
+use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
 use serde::Serialize;
 use serde_json::json;
@@ -114,6 +115,8 @@
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
+            // Ctrl-C on a terminal goes to a whole group; the lab ends its children itself.
+            .process_group(0)
             .kill_on_drop(true);
         if let Some(file) = &scenario.nodes.operator {
             command.env("CURLEWUSHER_OPERATOR", file);
@@ -128,7 +131,7 @@
         let log = program.folder.join(format!("n{number}.log"));
         tokio::spawn(keep_lines(stderr, log, lines.clone(), said));
         let failed = |why: &str, lines: &Mutex<VecDeque<String>>| {
-            let lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
+            let lines = lines.lock();
             let shown: String = lines.iter().map(|line| format!("\n    {line}")).collect();
             format!(
                 "node {number} {why}; its last lines:{}",
@@ -153,7 +156,7 @@
 
     /// The last lines that it wrote.
     pub fn last_lines(&self) -> Vec<String> {
-        self.lines.lock().unwrap_or_else(PoisonError::into_inner).iter().cloned().collect()
+        self.lines.lock().iter().cloned().collect()
     }
 
     pub fn signal(&self, signal: Signal) {
@@ -196,7 +199,7 @@
         if let Some(file) = &mut file {
             let _ = writeln!(file, "{line}");
         }
-        let mut lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut lines = lines.lock();
         lines.push_back(line);
         if lines.len() > LINES {
             lines.pop_front();
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -2,8 +2,8 @@
 //! of cost. It must never judge what happened.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use curlewusher_model::span;
@@ -50,7 +50,7 @@
     places: NodePlaces,
     log: Log,
     nodes: Vec<Mutex<Option<Node>>>,
-    crashes: std::sync::Mutex<Vec<String>>,
+    crashes: parking_lot::Mutex<Vec<String>>,
 }
 
 /// Plays a scenario to its end, or until the process is interrupted: then all children end and what was seen remains.
@@ -58,7 +58,7 @@
     let scenario = Arc::new(scenario);
     let jobs = Arc::new(scenario.wish().draw());
     let (log, tries) = (Log::new(), Tries::default());
-    let places: NodePlaces = Arc::new(std::sync::Mutex::new(vec![None; scenario.nodes.count]));
+    let places: NodePlaces = Arc::new(parking_lot::Mutex::new(vec![None; scenario.nodes.count]));
     let fleet = Fleet::start(&scenario, jobs.clone(), tries.clone(), places.clone(), log.clone()).await?;
     let front = Arc::new(Front::new(scenario.nodes.count, places.clone()));
     let stage = Arc::new(Stage {
@@ -69,11 +69,18 @@
         front: front.clone(),
         places,
         log: log.clone(),
-        crashes: std::sync::Mutex::default(),
+        crashes: parking_lot::Mutex::default(),
     });
-    for node in 0..scenario.nodes.count {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        stage.start_node(node, any).await?;
+    let starts = async {
+        for node in 0..scenario.nodes.count {
+            stage.start_node(node, SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        }
+        Ok::<(), String>(())
+    };
+    tokio::select! {
+        started = starts => started?,
+        // What has started ends with its handle.
+        _ = tokio::signal::ctrl_c() => return Err("interrupted before the load began; nothing was seen".into()),
     }
     let begin = log.now() + 200_000;
     let done = Arc::new(AtomicUsize::new(0));
@@ -82,7 +89,7 @@
         let stage = stage.clone();
         tasks.spawn(async move { stage.fault(fault, begin).await });
     }
-    let samples = Arc::new(std::sync::Mutex::new(Vec::new()));
+    let samples = Arc::new(parking_lot::Mutex::new(Vec::new()));
     let (watched, kept) = (stage.clone(), samples.clone());
     let sampling = tokio::spawn(async move { watched.sample(kept).await });
     let all = jobs.len();
@@ -105,8 +112,8 @@
     tasks.shutdown().await;
     stage.end(interrupted).await;
     sampling.abort();
-    let crashes = std::mem::take(&mut *stage.crashes.lock().unwrap_or_else(PoisonError::into_inner));
-    let samples = std::mem::take(&mut *samples.lock().unwrap_or_else(PoisonError::into_inner));
+    let crashes = std::mem::take(&mut *stage.crashes.lock());
+    let samples = std::mem::take(&mut *samples.lock());
     Ok(Played { records: log.take(), samples, begin, end, crashes, interrupted })
 }
 
@@ -114,7 +121,7 @@
     async fn start_node(&self, number: usize, listen: SocketAddr) -> Result<(), String> {
         let discovery = self.fleet.discovery_for(number).await?;
         let node = Node::start(&self.program, &self.scenario, number, listen, discovery).await?;
-        self.places.lock().unwrap_or_else(PoisonError::into_inner)[number] = Some(node.address);
+        self.places.lock()[number] = Some(node.address);
         *self.nodes[number].lock().await = Some(node);
         self.log.add(What::NodeReady { node: number });
         self.front.admit(number, true);
@@ -122,10 +129,10 @@
     }
 
     fn crashed(&self, words: String) {
-        self.crashes.lock().unwrap_or_else(PoisonError::into_inner).push(words);
+        self.crashes.lock().push(words);
     }
 
-    async fn sample(&self, into: Arc<std::sync::Mutex<Vec<Sample>>>) {
+    async fn sample(&self, into: Arc<parking_lot::Mutex<Vec<Sample>>>) {
         loop {
             for (number, node) in self.nodes.iter().enumerate() {
                 let mut held = node.lock().await;
@@ -143,7 +150,7 @@
                 }
                 let at_s = self.log.now() as f64 / 1e6;
                 let sample = node.child.id().and_then(|id| cost(id, number, at_s));
-                into.lock().unwrap_or_else(PoisonError::into_inner).extend(sample);
+                into.lock().extend(sample);
             }
             sleep(SAMPLES).await;
         }
@@ -250,6 +257,9 @@
                 }
                 Err(_) => {
                     let _ = node.child.kill().await;
+                    self.crashed(format!(
+                        "node {number} did not end by itself after SIGTERM, and was killed"
+                    ));
                     return self.log.add(What::NodeGone { node: number, killed: true });
                 }
             }
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -1,10 +1,11 @@
 //! Owns what the stand-ins saw, in the order in which they saw it: the only thing that judge and report go by. It must
 //! never hold what a node says of itself.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Instant;
 
 use curlewusher_model::Micros;
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
 /// Something seen.
@@ -142,12 +143,12 @@
     }
 
     pub fn add_at(&self, at: Micros, what: What) {
-        self.records.lock().unwrap_or_else(PoisonError::into_inner).push(Record { at, what });
+        self.records.lock().push(Record { at, what });
     }
 
     /// All of it, oldest first.
     pub fn take(&self) -> Vec<Record> {
-        let mut records = std::mem::take(&mut *self.records.lock().unwrap_or_else(PoisonError::into_inner));
+        let mut records = std::mem::take(&mut *self.records.lock());
         records.sort_by_key(|record| record.at);
         records
     }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -256,84 +256,152 @@
 pub const FALL_WINDOW: Micros = 2_000_000;
 pub const OVERLOAD_FACTOR: f64 = 3.0;
 
+/// The most workers that ever are in a scenario.
+const MOST_WORKERS: usize = 10_000;
+
+/// A figure and its bounds.
+struct Bound {
+    table: &'static str,
+    /// Which of the tables of that name.
+    nth: usize,
+    field: &'static str,
+    value: f64,
+    least: f64,
+    most: f64,
+}
+
+impl Bound {
+    fn check(&self) -> Result<(), Mistake> {
+        let Bound { table, nth, field, value, least, most } = *self;
+        if (least..=most).contains(&value) {
+            return Ok(());
+        }
+        Err(Mistake { table, nth, field, words: format!("{value} is not from {least} to {most}") })
+    }
+}
+
+/// Where something is wrong, and what.
+struct Mistake {
+    table: &'static str,
+    nth: usize,
+    field: &'static str,
+    words: String,
+}
+
 impl Scenario {
     /// Reads a scenario; the error names line, field and remedy.
     pub fn parse(text: &str) -> Result<Self, String> {
-        let place = |error: &toml::de::Error| {
-            let at = error.span().map_or(0, |span| span.start.min(text.len()));
-            format!("line {}", text.as_bytes()[..at].iter().filter(|b| **b == b'\n').count() + 1)
-        };
-        let flat = |message: &str| message.split_whitespace().collect::<Vec<_>>().join(" ");
-        let source =
-            toml::Deserializer::parse(text).map_err(|e| format!("{}: {}", place(&e), flat(e.message())))?;
-        let scenario: Scenario = serde_path_to_error::deserialize(source).map_err(|e| {
-            let path = e.path().to_string();
-            let e = e.into_inner();
-            format!("{}: {path}: {}", place(&e), flat(e.message()))
-        })?;
-        scenario.check().map_err(|(section, problem)| {
-            // What only shows in the whole is placed at the head of its section.
-            let head =
-                text.lines().position(|line| line.trim_start().trim_matches(['[', ']', ' ']) == section);
-            format!("line {}: {problem}", head.unwrap_or(0) + 1)
-        })?;
-        Ok(scenario)
+        let scenario: Scenario = curlewusher_files::parse(text)?;
+        let bad = scenario.check().err();
+        bad.map_or(Ok(scenario), |Mistake { table, nth, field, words }| {
+            let line = curlewusher_files::line_of(text, table, nth, field);
+            Err(format!("line {line}: {}: {words}", [table, field].join(".").trim_matches('.')))
+        })
     }
 
-    /// The section, and what is wrong in it.
-    fn check(&self) -> Result<(), (&'static str, String)> {
-        let within = |section, name: &str, value: f64, least: f64, most: f64| {
-            if (least..=most).contains(&value) {
-                return Ok(());
-            }
-            Err((section, format!("{section}.{name} is {value}; it must be from {least} to {most}")))
-        };
-        within("", "length_s", self.length_s, 0.5, 86_400.0)?;
-        within("nodes", "count", self.nodes.count as f64, 1.0, 64.0)?;
-        within("nodes", "descriptors", self.nodes.descriptors as f64, 64.0, 65_536.0)?;
-        let fleet = &self.fleet;
-        within("fleet", "workers", fleet.workers as f64, 1.0, 10_000.0)?;
-        within("fleet", "bays", fleet.bays as f64, 1.0, 1_000.0)?;
-        within("fleet", "kinds", fleet.kinds.len() as f64, 1.0, 64.0)?;
-        within("fleet", "archive", fleet.archive, 0.1, 1e6)?;
-        within("fleet", "cold_share", fleet.cold_share, 0.01, 1.0)?;
-        within("fleet", "list_late_s", fleet.list_late_s, 0.0, 5.0)?;
+    /// The first figure that is out of its bounds, or that does not go with another.
+    fn check(&self) -> Result<(), Mistake> {
+        let (nodes, fleet, load) = (&self.nodes, &self.fleet, &self.load);
+        let lone = |table, field, value: f64, least, most| Bound { table, nth: 0, field, value, least, most };
+        let mut bounds = vec![
+            lone("", "length_s", self.length_s, 0.5, 86_400.0),
+            lone("nodes", "count", nodes.count as f64, 1.0, 64.0),
+            lone("nodes", "descriptors", nodes.descriptors as f64, 64.0, 65_536.0),
+            lone("fleet", "workers", fleet.workers as f64, 1.0, MOST_WORKERS as f64),
+            lone("fleet", "bays", fleet.bays as f64, 1.0, 1_000.0),
+            lone("fleet", "kinds", fleet.kinds.len() as f64, 1.0, 64.0),
+            lone("fleet", "queue", fleet.queue as f64, 0.0, 1e6),
+            lone("fleet", "sets_kept", fleet.sets_kept as f64, 1.0, 1e6),
+            lone("fleet", "fetch_s", fleet.fetch_s, 0.0, 3_600.0),
+            lone("fleet", "archive", fleet.archive, 0.1, 1e6),
+            lone("fleet", "crowding", fleet.crowding, 0.0, 100.0),
+            lone("fleet", "cold_share", fleet.cold_share, 0.01, 1.0),
+            lone("fleet", "warm_up_s", fleet.warm_up_s, 0.0, 3_600.0),
+            lone("fleet", "list_late_s", fleet.list_late_s, 0.0, 5.0),
+            lone("fleet", "list_call_s", fleet.list_call_s, 0.0, 2.0),
+            lone("load", "rate", load.rate, 0.1, 100_000.0),
+            lone("load", "sets", load.sets as f64, 1.0, 1e9),
+            lone("load", "skew", load.skew, 0.0, 10.0),
+            lone("load", "hint_spread", load.hint_spread, 0.0, 5.0),
+            lone("load", "retries", f64::from(load.retries), 0.0, 100.0),
+            lone("load", "retry_wait_s", load.retry_wait_s, 0.0, 3_600.0),
+            lone("", "class", self.classes.len() as f64, 1.0, 64.0),
+        ];
         for kind in &fleet.kinds {
-            within("fleet", "kinds.cores", kind.cores, 0.1, 1_000.0)?;
-            within("fleet", "kinds.speed", kind.speed, 0.01, 100.0)?;
-            within("fleet", "kinds.parts", kind.parts as f64, 1.0, 1_000.0)?;
+            // Kinds may be written in one line; then that is where they stand.
+            bounds.push(lone("fleet", "kinds", kind.cores, 0.1, 1_000.0));
+            bounds.push(lone("fleet", "kinds", kind.speed, 0.01, 100.0));
+            bounds.push(lone("fleet", "kinds", f64::from(kind.slots), 1.0, 1_000.0));
+            bounds.push(lone("fleet", "kinds", kind.parts as f64, 1.0, 1_000.0));
         }
-        within("load", "rate", self.load.rate, 0.1, 100_000.0)?;
-        for class in &self.classes {
-            within("class", "mean_s", class.mean_s, 0.001, 3_600.0)?;
-            within("class", "give_up_s", class.give_up_s, 0.1, 3_600.0)?;
-            within("class", "slots", f64::from(class.slots), 1.0, 64.0)?;
+        for (nth, tide) in load.tides.iter().enumerate() {
+            let of = |field, value, least, most| Bound { table: "load.tide", nth, field, value, least, most };
+            bounds.push(of("from_s", tide.from_s, 0.0, self.length_s));
+            bounds.push(of("until_s", tide.until_s, tide.from_s, self.length_s));
+            bounds.push(of("factor", tide.factor, 0.0, 1_000.0));
         }
-        self.wish().check().map_err(|problem| ("load", problem))?;
-        for fault in &self.faults {
-            within("fault", "at_s", fault.at_s, 0.0, self.length_s)?;
-            let (all, what) =
-                if fault.kind.on_nodes() { (self.nodes.count, "nodes") } else { (self.workers(), "workers") };
-            if let Some(no) = fault.of.iter().find(|no| **no >= all) {
-                return Err(("fault", format!("fault.of names {no}; there are {all} {what}, from 0 on")));
+        for (nth, class) in self.classes.iter().enumerate() {
+            let of = |field, value, least, most| Bound { table: "class", nth, field, value, least, most };
+            bounds.push(of("share", class.share, 1e-6, 1e6));
+            bounds.push(of("mean_s", class.mean_s, 0.001, 3_600.0));
+            bounds.push(of("slots", f64::from(class.slots), 1.0, 64.0));
+            bounds.push(of("aim_s", class.aim_s, 0.0, 3_600.0));
+            bounds.push(of("stretch", class.stretch, 0.0, 1_000.0));
+            bounds.push(of("give_up_s", class.give_up_s, 0.1, 3_600.0));
+            bounds.push(of("worth", class.worth, 0.0, 1e6));
+        }
+        for (nth, fault) in self.faults.iter().enumerate() {
+            let of = |field, value, least, most| Bound { table: "fault", nth, field, value, least, most };
+            bounds.push(of("at_s", fault.at_s, 0.0, self.length_s));
+            bounds.extend(fault.for_s.map(|value| of("for_s", value, 0.0, 86_400.0)));
+            bounds.extend(fault.share.map(|value| of("share", value, 0.0, 1.0)));
+            bounds.extend(fault.factor.map(|value| of("factor", value, 1.0, 1_000.0)));
+        }
+        bounds.iter().try_for_each(Bound::check)?;
+        self.check_names()?;
+        self.check_faults()
+    }
+
+    fn check_names(&self) -> Result<(), Mistake> {
+        for (nth, class) in self.classes.iter().enumerate() {
+            let mistake = |words: &str| Mistake { table: "class", nth, field: "name", words: words.into() };
+            // It travels as a header.
+            if class.name.is_empty()
+                || !class.name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_".contains(&b))
+            {
+                return Err(mistake("letters, digits, - and _ only, one at least"));
+            }
+            if self.classes[..nth].iter().any(|other| other.name == class.name) {
+                return Err(mistake("an earlier class has this name; give each its own"));
             }
-            if let Some(share) = fault.share {
-                within("fault", "share", share, 0.0, 1.0)?;
+        }
+        Ok(())
+    }
+
+    fn check_faults(&self) -> Result<(), Mistake> {
+        for (nth, fault) in self.faults.iter().enumerate() {
+            let mistake = |field, words: String| Err(Mistake { table: "fault", nth, field, words });
+            let (all, what) = match fault.kind {
+                kind if kind.on_nodes() => (self.nodes.count, "nodes"),
+                // What grows is there from then on.
+                FaultKind::Grow => (MOST_WORKERS, "places for workers"),
+                _ => (self.workers(), "workers"),
+            };
+            if let Some(no) = fault.of.iter().find(|no| **no >= all) {
+                return mistake("of", format!("{no} is none of the {all} {what}, which count from 0"));
             }
             match (fault.kind, fault.factor) {
-                (FaultKind::Slow, Some(factor)) => within("fault", "factor", factor, 1.0, 1_000.0)?,
-                (FaultKind::Slow, None) => {
-                    return Err(("fault", "a fault of kind slow needs fault.factor".into()));
-                }
-                (_, Some(_)) => return Err(("fault", "fault.factor is for kind slow only".into())),
-                (_, None) => {}
+                (FaultKind::Slow, None) => return mistake("factor", "a fault of kind slow needs it".into()),
+                (FaultKind::Slow, Some(_)) | (_, None) => {}
+                (_, Some(_)) => return mistake("factor", "it is for kind slow only".into()),
             }
             let all_or_none = matches!(fault.kind, FaultKind::DiscoveryDown | FaultKind::Reload);
-            if !all_or_none && fault.of.is_empty() && fault.share.is_none() {
-                return Err((
-                    "fault",
-                    format!("a fault of kind {:?} needs fault.of or fault.share", fault.kind),
-                ));
+            let of_a_share = fault.share.is_some() && fault.kind != FaultKind::Grow;
+            if !all_or_none && fault.of.is_empty() && !of_a_share {
+                return mistake(
+                    "of",
+                    format!("a fault of kind {:?} needs it, or where it is not grow, share", fault.kind),
+                );
             }
         }
         Ok(())
@@ -361,7 +429,7 @@
     /// All workers that ever are, grown ones included.
     pub fn workers(&self) -> usize {
         let most = self.grown().last().map_or(0, |last| last + 1);
-        self.fleet.workers.max(most.min(20_000))
+        self.fleet.workers.max(most)
     }
 
     pub fn kind_of(&self, worker: usize) -> (usize, &Kind) {
@@ -444,34 +512,68 @@
     #[test]
     fn a_mistake_is_named_with_its_line_and_what_would_be_right() {
         assert!(Scenario::parse(GOOD).is_ok(), "{:?}", Scenario::parse(GOOD));
-        for (old, new, parts) in [
-            ("count = 1", "count = 0", ["line 4", "nodes.count", "from 1 to 64"]),
-            ("rate = 5.0", "rte = 5.0", ["line 7", "rte", "`rate`"]),
-            ("rate = 5.0", "rate = 'much'", ["line 7", "load.rate", "f64"]),
-            ("repeats = 'safe'", "repeats = 'often'", ["line 12", "repeats", "`keyed`"]),
+        let fault = "worth = 1.0\n[[fault]]\nat_s = 1.0\nkind = 'kill'\nof = [0]\n[[fault]]\nat_s = 2.0\n";
+        let second = |rest: &str| format!("{fault}{rest}");
+        let cases: [(&str, String, [&str; 3]); 27] = [
+            ("count = 1", "count = 0".into(), ["line 5", "nodes.count", "from 1 to 64"]),
+            ("rate = 5.0", "rte = 5.0".into(), ["line 7", "rte", "`rate`"]),
+            ("rate = 5.0", "rate = 'much'".into(), ["line 7", "load.rate", "f64"]),
+            ("rate = 5.0", "rate = nan".into(), ["line 7", "load.rate", "from 0.1"]),
+            ("rate = 5.0", "rate = 5.0\nsets = 0".into(), ["line 8", "load.sets", "from 1"]),
+            ("rate = 5.0", "rate = 5.0\nskew = -1".into(), ["line 8", "load.skew", "from 0"]),
+            ("rate = 5.0", "rate = 5.0\nhint_spread = -1".into(), ["line 8", "load.hint_spread", "from 0"]),
+            ("rate = 5.0", "rate = 5.0\nretry_wait_s = -1".into(), ["line 8", "load.retry_wait_s", "from 0"]),
             (
-                "worth = 1.0",
-                "worth = 1.0\n[[fault]]\nat_s = 1.0\nkind = 'slow'\nof = [0]",
-                ["line 17", "slow", "fault.factor"],
+                "rate = 5.0",
+                "rate = 5.0\n[[load.tide]]\nfrom_s = 1\nuntil_s = 0.5\nfactor = 1".into(),
+                ["line 10", "load.tide.until_s", "from 1 to 5"],
             ),
             (
-                "worth = 1.0",
-                "worth = 1.0\n[[fault]]\nat_s = 1.0\nkind = 'kill'\nof = [10]",
-                ["line 17", "10 workers", "from 0"],
+                "rate = 5.0",
+                "rate = 5.0\n[fleet]\nlist_call_s = -0.1".into(),
+                ["line 9", "fleet.list_call_s", "from 0"],
+            ),
+            (
+                "rate = 5.0",
+                "rate = 5.0\n[fleet]\nfetch_s = -0.1".into(),
+                ["line 9", "fleet.fetch_s", "from 0"],
+            ),
+            (
+                "rate = 5.0",
+                "rate = 5.0\n[fleet]\nwarm_up_s = -1".into(),
+                ["line 9", "fleet.warm_up_s", "from 0"],
+            ),
+            (
+                "rate = 5.0",
+                "rate = 5.0\n[fleet]\ncrowding = -1".into(),
+                ["line 9", "fleet.crowding", "from 0"],
             ),
+            ("share = 1.0", "share = -1.0".into(), ["line 10", "class.share", "from"]),
+            ("stretch = 2.0", "stretch = -2.0".into(), ["line 14", "class.stretch", "from 0"]),
+            ("worth = 1.0", "worth = -1.0".into(), ["line 16", "class.worth", "from 0"]),
+            ("name = 'view'", "name = 'a view'".into(), ["line 9", "class.name", "letters"]),
+            ("repeats = 'safe'", "repeats = 'often'".into(), ["line 12", "repeats", "`keyed`"]),
+            ("worth = 1.0", second("kind = 'slow'\nof = [0]"), ["line 21", "fault.factor", "needs it"]),
+            ("worth = 1.0", second("kind = 'kill'\nof = [10]"), ["line 24", "fault.of", "10 workers"]),
+            ("worth = 1.0", second("kind = 'node_kill'\nof = [1]"), ["line 24", "fault.of", "1 nodes"]),
+            ("worth = 1.0", second("kind = 'grow'\nof = [10000]"), ["line 24", "fault.of", "10000"]),
             (
                 "worth = 1.0",
-                "worth = 1.0\n[[fault]]\nat_s = 9.0\nkind = 'reload'",
-                ["line 17", "fault.at_s", "from 0 to 5"],
+                second("kind = 'kill'\nof = [1]\nfor_s = -1"),
+                ["line 25", "fault.for_s", "from 0"],
             ),
+            ("worth = 1.0", second("kind = 'kill'\nshare = 2"), ["line 24", "fault.share", "from 0 to 1"]),
             (
                 "worth = 1.0",
-                "worth = 1.0\n[[fault]]\nat_s = 1.0\nkind = 'kill'",
-                ["line 17", "fault.of", "fault.share"],
+                second("kind = 'kill'\nof = [1]\nfactor = 2"),
+                ["line 25", "fault.factor", "slow only"],
             ),
-        ] {
-            let text = GOOD.replace(old, new);
-            let said = Scenario::parse(&text).expect_err(new);
+            ("worth = 1.0", second("kind = 'kill'"), ["line 21", "fault.of", "share"]),
+            ("length_s = 5.0", "length_s = 0".into(), ["line 3", "length_s", "from 0.5"]),
+        ];
+        for (old, new, parts) in cases {
+            let text = GOOD.replace(old, &new);
+            let said = Scenario::parse(&text).expect_err(&new);
             assert!(parts.iter().all(|part| said.contains(part)) && !said.contains('\n'), "{new}: {said}");
         }
     }
--- a/crates/lab/src/scripted.rs
+++ b/crates/lab/src/scripted.rs
@@ -5,7 +5,7 @@
 use std::convert::Infallible;
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +16,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo};
+use parking_lot::Mutex;
 use serde::Deserialize;
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
@@ -41,6 +42,8 @@
     RushToTheNew,
     /// It ends by itself after some jobs.
     Crash,
+    /// It does not end when it is told to.
+    DeafToTheEnd,
 }
 
 impl fmt::Display for Flaw {
@@ -90,10 +93,6 @@
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
-fn hold<T>(of: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    of.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// How an attempt ended.
 enum End {
     Done(String),
@@ -122,7 +121,10 @@
         .map_err(|e| e.to_string())?;
     loop {
         let (stream, _) = tokio::select! {
-            _ = ends.recv() => return Ok(()),
+            _ = ends.recv() => match flaw {
+                Flaw::DeafToTheEnd => continue,
+                _ => return Ok(()),
+            },
             accepted = listener.accept() => match accepted {
                 Ok(accepted) => accepted,
                 Err(_) => continue,
@@ -169,7 +171,7 @@
     }
 
     fn listed(&self, message: Message) {
-        let mut workers = hold(&self.workers);
+        let mut workers = self.workers.lock();
         if message.snapshot {
             workers.clear();
         }
@@ -187,11 +189,11 @@
 
     /// The next worker in turn, but for those.
     fn next(&self, not: &[String]) -> Option<Endpoint> {
-        let workers = hold(&self.workers);
+        let workers = self.workers.lock();
         if self.flaw == Flaw::RushToTheNew {
             return workers.iter().max_by_key(|worker| worker.since_ms).cloned();
         }
-        let mut turn = hold(&self.turn);
+        let mut turn = self.turn.lock();
         *turn += 1;
         let all = workers.len();
         (0..all).map(|n| &workers[(*turn + n) % all]).find(|worker| !not.contains(&worker.name)).cloned()
@@ -200,7 +202,7 @@
     async fn respond(self: Arc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let path = request.uri().path().to_owned();
         if request.method() == Method::GET {
-            let ready = path == "/ready" && !hold(&self.workers).is_empty();
+            let ready = path == "/ready" && !self.workers.lock().is_empty();
             return reply(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         let head = request.headers().clone();
@@ -211,7 +213,7 @@
                 return reply(StatusCode::BAD_REQUEST, "");
             };
             if !matches!(call.state.as_str(), "started" | "running")
-                && let Some(waits) = hold(&self.waiting).remove(&(call.id, call.from))
+                && let Some(waits) = self.waiting.lock().remove(&(call.id, call.from))
             {
                 let _ = waits.send((call.state, call.result));
             }
@@ -269,7 +271,7 @@
         head: &hyper::HeaderMap,
     ) -> End {
         let (waits, word) = oneshot::channel();
-        hold(&self.waiting).insert((id.to_owned(), to.name.clone()), waits);
+        self.waiting.lock().insert((id.to_owned(), to.name.clone()), waits);
         let mut request = Request::post(format!("http://{}{path}", to.address));
         for name in ["x-request-id", "idempotency-key", "x-deadline"] {
             if let Some(value) = head.get(name) {
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -99,6 +99,7 @@
         ("deaf-to-drains", Some("QuietDrain")),
         ("rush-to-the-new", Some("GentleStart")),
         ("crash", Some("CRASH node 0 ended by itself")),
+        ("deaf-to-the-end", Some("CRASH node 0 did not end by itself")),
     ];
     std::thread::scope(|scope| {
         for (flaw, words) in flaws {
@@ -110,7 +111,7 @@
                     Some(words) => {
                         assert!(out.status.code() == Some(1) && said.contains(words), "{flaw}: {said}");
                         // A request's own time-line, for a person to read.
-                        assert!(flaw == "crash" || said.contains(" s  "), "{flaw}: {said}");
+                        assert!(said.starts_with("CRASH") || said.contains(" s  "), "{flaw}: {said}");
                     }
                 }
             });
@@ -118,13 +119,50 @@
     });
 }
 
+#[test]
+fn an_interrupted_run_ends_its_nodes_and_still_writes_what_was_seen() {
+    // The node's own log tells when the load has begun.
+    std::fs::write(folder("debug.toml"), "[log.parts]\ndispatch = \"debug\"\n").expect("a place");
+    let text = std::fs::read_to_string(SMOKE).expect("a scenario");
+    let long = text
+        .replace("length_s = 4.0", "length_s = 600.0")
+        .replace("count = 2", "count = 2\noperator = \"debug.toml\"");
+    std::fs::write(folder("long.toml"), long).expect("a place");
+    let out = folder("interrupted");
+    let _ = std::fs::remove_dir_all(&out);
+    let lab = Command::new(env!("CARGO_BIN_EXE_curlewusher-lab"))
+        .args(["run", folder("long.toml").to_str().expect("a path"), "--quiet", "--out"])
+        .arg(&out)
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .expect("the lab starts");
+    let log = |node: u32| std::fs::read_to_string(out.join(format!("n{node}.log"))).unwrap_or_default();
+    while !log(0).contains("taken") {
+        std::thread::yield_now();
+    }
+    let kill = Command::new("kill").args(["-INT", &lab.id().to_string()]).status().expect("kill is there");
+    assert!(kill.success());
+    let ended = lab.wait_with_output().expect("it ends");
+    assert_eq!(ended.status.code(), Some(3), "such a run does not count: {ended:?}");
+    assert!(figures("interrupted")["jobs"].as_u64().is_some_and(|jobs| jobs > 0));
+    for node in 0..2 {
+        let log = log(node);
+        let address =
+            log.split("serves on ").nth(1).and_then(|rest| rest.lines().next()).expect("an address");
+        assert!(std::net::TcpStream::connect(address).is_err(), "node {node} is left running");
+    }
+}
+
 #[test]
 fn a_run_that_cannot_begin_says_why_and_leaves_nothing_running() {
     let bad = folder("bad.toml");
     std::fs::write(&bad, HARD.replace("rate = 40.0", "rate = -1")).expect("a place");
     let out = run(bad.to_str().expect("a path"), "bad", &[]);
     let said = text(&out.stderr);
-    assert!(out.status.code() == Some(2) && said.contains("bad.toml: line 11: load.rate"), "{said}");
+    assert!(
+        out.status.code() == Some(2) && said.contains("bad.toml: line 12: load.rate: -1 is not from 0.1"),
+        "{said}"
+    );
     assert!(!folder("bad").exists(), "nothing was started");
 
     let out = run(SMOKE, "absent", &["--node", "no-such-program"]);
--- a/crates/node/src/check.rs
+++ b/crates/node/src/check.rs
@@ -7,7 +7,7 @@
 use curlewusher_settings::operator::Operator;
 use serde_json::Value;
 
-use crate::lifecycle::{Config, Told, VARIABLES};
+use crate::config::{Config, Told, VARIABLES};
 
 /// Prints all values; an error where a start would fail.
 pub fn run(told: &Told) -> Result<(), String> {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod check;
+mod config;
 mod counters;
 mod dispatch;
 mod lifecycle;
@@ -46,7 +47,7 @@
 
 fn main() -> ExitCode {
     let line = CommandLine::parse();
-    let told = lifecycle::Told { operator: line.operator };
+    let told = config::Told { operator: line.operator };
     let (done, bad) = match line.command.unwrap_or(Command::Serve) {
         Command::Serve => (serve::run(&told), 1),
         Command::Check => (check::run(&told), 2),
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -10,9 +10,10 @@
 use tokio::task::{LocalSet, spawn_local};
 use tracing::{error, info};
 
+use crate::config::{Config, Told};
 use crate::counters::{Counter, Counters};
 use crate::dispatch::{Clock, Dispatch, Notice, QUEUE_ROOM};
-use crate::lifecycle::{Config, DRAIN_AT_LEAST, DRAIN_AT_MOST, LAST_ANSWERS, Lifecycle, Phase, Told};
+use crate::lifecycle::{DRAIN_AT_LEAST, DRAIN_AT_MOST, LAST_ANSWERS, Lifecycle, Phase};
 use crate::logs::{Logs, NODE};
 use crate::next_hop::NextHops;
 use crate::sender_side::SenderSide;
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -293,19 +293,7 @@
 impl Operator {
     /// Reads the text of a file; the error names line, field, and what would be right.
     pub fn parse(text: &str) -> Result<Self, String> {
-        let place = |error: &toml::de::Error| {
-            let at = error.span().map_or(0, |span| span.start.min(text.len()));
-            format!("line {}", text.as_bytes()[..at].iter().filter(|b| **b == b'\n').count() + 1)
-        };
-        // The parser's words may have several lines; an error here is one.
-        let flat = |message: &str| message.split_whitespace().collect::<Vec<_>>().join(" ");
-        let source =
-            toml::Deserializer::parse(text).map_err(|e| format!("{}: {}", place(&e), flat(e.message())))?;
-        serde_path_to_error::deserialize(source).map_err(|e| {
-            let path = e.path().to_string();
-            let e = e.into_inner();
-            format!("{}: {path}: {}", place(&e), flat(e.message()))
-        })
+        curlewusher_files::parse(text)
     }
 
     /// Every field with its value in effect, in the order of [`FIELDS`].
