Common homes for all nodes that tell nothing, and slots known by a node's few jobs

`most_groups` and `regroup` (ledger.rs) cut 100 nodes and 60 workers into seven groups, and `homes` looks within the group only, so each group fetches all keys for itself. Groups are there to make telling cheap; nothing is told here. Second, `proven_slots` counts jobs of this node seen running at once: 1 at a node of a hundred, where up to 8 of the fleet ran at once at one worker. A cold worker's budget rests on it and let hardly any job pass: 4 sends to 36 cold workers in 10 s.

Change: groups only where `may_tell`; slots are also no fewer than own running jobs, averaged over 10 s, times nodes, over workers. The two tests of groups now say that they tell. Log: starts, keys, hints and the list's entries.

Both new tests fail without their lines.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -21,6 +21,8 @@
 pub(crate) const R_MAX: f64 = 0.9;
 /// Span over which the rate of work sent is averaged, s.
 pub(crate) const R_SPAN: f64 = 5.0;
+/// Span over which running jobs are averaged, s.
+pub(crate) const RUNNING_SPAN: f64 = 10.0;
 /// Costs within this share of the lowest, and this many seconds, are ties.
 const TIE_SHARE: f64 = 0.03;
 const TIE_SPAN: f64 = 0.002;
--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -204,7 +204,7 @@
             self.ask_at = Some(now + self.settings.ask_within / 2);
             out.push(Action::Watch);
         }
-        self.fleet.relearn_slots();
+        self.fleet.relearn_slots(now, f64::from(self.group_nodes()));
         self.watch_workers(now);
         let mut open = std::mem::take(&mut self.scratch);
         open.extend(self.jobs.values().filter(|j| !j.ended && !j.bound).map(|j| j.id));
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -16,9 +16,13 @@
 /// So many keys of a worker are remembered.
 pub(crate) const KEYS_MOST: usize = 16;
 
-/// Many nodes with many workers part into groups, each of which does with few workers what a small deployment
-/// does: it knows them, and can afford to tell its nodes' work.
+/// Many nodes with many workers part into groups, each of which does with few workers what a small deployment does:
+/// it knows them, and can afford to tell its nodes' work. Where nothing may be told, groups would only make each fetch
+/// what the others hold already.
 fn most_groups(settings: &Settings) -> usize {
+    if !settings.may_tell {
+        return 1;
+    }
     (settings.nodes / GROUP_NODES).max(1) as usize
 }
 
@@ -61,6 +65,24 @@
     }
 }
 
+/// A figure averaged over the time that it stood at each value.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Average {
+    value: f64,
+    last: f64,
+    at: Micros,
+}
+
+impl Average {
+    /// It is `value` from now on. Returns the average up to now.
+    pub fn set(&mut self, now: Micros, value: f64, tau: f64) -> f64 {
+        let old = (-since(self.at, now) / tau).exp();
+        self.value = self.value * old + self.last * (1.0 - old);
+        (self.last, self.at) = (value, now);
+        self.value
+    }
+}
+
 /// Tokens that come back at a rate, up to a store.
 #[derive(Clone, Copy)]
 pub(crate) struct Bucket {
@@ -430,6 +452,10 @@
     /// What the fleet as a whole runs at, for kinds that nothing is known of.
     pub all: Pace,
     pub median_slots: f64,
+    /// Own running jobs, averaged, and as last counted.
+    pub running: Average,
+    /// Jobs that run at once at a worker, by own running ones times the nodes.
+    pub shared_slots: f64,
     /// The list tells sizes.
     pub sizes_told: bool,
     /// Mean distance (of logarithms) between what jobs run at and what was learned of their workers.
@@ -452,6 +478,8 @@
             kinds: Vec::new(),
             all: Pace::UNKNOWN,
             median_slots: 1.0,
+            running: Average::default(),
+            shared_slots: 1.0,
             hint_error: 0.5,
             prompt: 1.0,
             usual_work: UNHINTED_WORK,
@@ -513,7 +541,7 @@
 
     /// Learned parallelism alone: most slots seen running at once, else the median of that.
     pub fn proven_slots(&self, w: &Worker) -> f64 {
-        if w.lessons > 0 { w.seen_slots.max(1.0) } else { self.median_slots }
+        (if w.lessons > 0 { w.seen_slots } else { self.median_slots }).max(self.shared_slots)
     }
 
     /// Takes over a list, or changes to it. A worker that has left is kept until its attempts have ended.
@@ -568,7 +596,13 @@
     }
 
     /// Most slots seen running at once at the middle one of this node's own workers that have taught anything.
-    pub fn relearn_slots(&mut self) {
+    ///
+    /// A node of many seldom has two jobs at one worker. What it has running at all workers is an even part of what
+    /// runs there, which they bear at once.
+    pub fn relearn_slots(&mut self, now: Micros, nodes: f64) {
+        let running = self.near.iter().map(|i| self.workers[*i].running(now)).sum();
+        let running = self.running.set(now, running, RUNNING_SPAN) * nodes;
+        self.shared_slots = (running / self.near.len().max(1) as f64).clamp(1.0, 16.0);
         let taught = self.near.iter().map(|i| &self.workers[*i]).filter(|w| w.lessons > 0).take(64);
         let mut slots: ArrayVec<f64, 64> = taught.map(|w| w.seen_slots.max(1.0)).collect();
         slots.sort_unstable_by(f64::total_cmp);
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -357,11 +357,11 @@
 }
 
 #[test]
-fn many_nodes_part_into_groups_that_share_no_workers() {
+fn many_nodes_that_tell_each_other_part_into_groups_that_share_no_workers() {
     // 32 nodes and 32 workers: four groups of eight.
     let used = |rank| {
         let mut s = settings();
-        (s.nodes, s.rank) = (32, rank);
+        (s.nodes, s.rank, s.may_tell) = (32, rank, true);
         let mut node = Node::new(s, &fleet(32));
         let mut used = [false; 32];
         for job in 0..60 {
@@ -397,7 +397,7 @@
 #[test]
 fn a_group_without_a_worker_for_a_job_sends_it_to_anothers() {
     let mut s = settings();
-    (s.nodes, s.rank) = (32, 0);
+    (s.nodes, s.rank, s.may_tell) = (32, 0, true);
     let mut workers = fleet(32);
     workers.iter_mut().for_each(|w| w.kind = KindId(u32::from(w.worker.0 % 16 == 7)));
     s.classes[0].kind = Some(KindId(1));
@@ -744,6 +744,40 @@
     assert!(homes.len() > 3, "keys are spread: {homes:?}");
 }
 
+#[test]
+fn a_hundred_nodes_that_tell_each_other_nothing_agree_on_a_keys_home() {
+    for key in 0..20 {
+        let home = |rank| {
+            let mut node = Node::new(Settings { nodes: 100, rank, ..settings() }, &fleet(60));
+            sent(&node.tell(Event::Offered(Offer { key: Some(key), ..offer(1, 0, 0.1, node.now) })))
+        };
+        let homes: std::collections::BTreeSet<_> = (0..100).step_by(9).map(home).collect();
+        assert_eq!(homes.len(), 1, "key {key} is fetched by each of {homes:?}");
+    }
+}
+
+#[test]
+fn a_node_of_many_learns_from_its_few_jobs_that_workers_run_several_at_once() {
+    // 30 nodes and 10 workers. Always one own job running: like nodes have three at each worker, which run at once.
+    let home_of_second = |nodes| {
+        let mut node = Node::new(Settings { nodes, ..settings() }, &fleet(10));
+        let offer = |job, now| Event::Offered(Offer { key: Some(1), ..offer(job, 0, 1.0, now) });
+        for job in 0..20 {
+            node.tell(offer(job, node.now));
+            node.start(job, 0);
+            node.pass(SECOND);
+            node.end(job, 0, Outcome::Done);
+        }
+        let first = sent(&node.tell(offer(50, node.now)));
+        node.start(50, 0);
+        (first, sent(&node.tell(offer(51, node.now))))
+    };
+    let (first, second) = home_of_second(30);
+    assert!(first.is_some() && second == first, "its home has room: {first:?}, {second:?}");
+    let (first, second) = home_of_second(1);
+    assert!(second != first, "a lone node has seen one slot and no more: {first:?}, {second:?}");
+}
+
 #[test]
 fn a_worker_that_does_not_take_a_job_on_loses_it_and_gets_no_other() {
     // Silence used to cost a job its whole deadline, and the next ones followed it.
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -309,7 +309,10 @@
             return;
         }
         self.counters.add(Counter::Taken);
-        debug!(target: DISPATCH, request_id = %taken.id, class = taken.class.0, repeat = taken.repeat, "taken");
+        let (class, key, hint) = (taken.class.0, taken.key, taken.hint);
+        debug!(
+            target: DISPATCH, request_id = %taken.id, class, ?key, ?hint, slots = taken.slots, repeat = taken.repeat, "taken"
+        );
         let job = JobId(self.next_job);
         self.next_job += 1;
         taken.ticket.0.set(Some(job));
@@ -353,7 +356,10 @@
         let Some((key, attempt)) = found else { return self.counters.add(Counter::CallbacksIdle) };
         let AttemptKey { job, attempt: number } = key;
         let outcome = match &word {
-            Word::Started => return self.tell(Event::Started { job, attempt: number }),
+            Word::Started => {
+                debug!(target: DISPATCH, request_id = id, attempt = number, from, "attempt started");
+                return self.tell(Event::Started { job, attempt: number });
+            }
             Word::Running(share) if *share <= attempt.share => {
                 // A repeat that arrives late must not set the clock of the progress back.
                 return self.counters.add(Counter::CallbacksIdle);
@@ -425,6 +431,7 @@
             self.hops.clear();
         }
         for NextHop { name, address, listing } in hops {
+            trace!(target: DISPATCH, %name, %address, ?listing, "listed");
             let old = self.starts.insert(listing.worker, listing.started);
             if listing.life == Life::Gone || old.is_some_and(|old| old != listing.started) {
                 // The connections that are left are those of a process that is no more.
@@ -496,7 +503,8 @@
         let (id, parcel) = (held.id.clone(), held.parcel.clone());
         self.due.insert((times_out, Due::TimeOut(key)));
         self.counters.add(Counter::Sent);
-        debug!(target: DISPATCH, request_id = %id, attempt = key.attempt, %to, "attempt sent");
+        let name = &*held.attempts[key.attempt as usize].from;
+        debug!(target: DISPATCH, request_id = %id, attempt = key.attempt, %to, name, "attempt sent");
         let wait = Duration::from_micros(timeout);
         self.carrier.deliver(DeliveryAttempt { key, id, to, parcel, wait, give_up: asked });
         None
