Spread calls to discovery over the time that it may need for all nodes

After the kill, as callers were gone, calls were answered 65 ms apart (13.4 to 15.4 s) and none after. 76 nodes that call again after about 4 s are 19 calls a second against 15: what fails has waited its 2 s and still costs its time, so the backlog never drains. Ruled out: the answer's limit in the node (2.2 s against the service's 2 s), silence of watches that are up (24 were told every change). At fault: `ask_at: Some(0)` at the start (dispatcher.rs) and a backoff of 0.4 to 3.2 s for any number of nodes (`ask_later`).

A cold worker's shared turn takes a third of the budget in place of half: the random rule test caught a node sending 2.52 s of work where 2.42 were allowed.

The new test fails without the spread: 100 calls in one second.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -85,7 +85,7 @@
 const COLD_TURN_MARGIN: f64 = 0.25;
 /// Where several have a turn at once, each by itself may use so much, and no more than this part of the nodes do. A
 /// worker may draw so many times its even part of a node's work.
-const COLD_SHARED_MARGIN: f64 = 0.5;
+const COLD_SHARED_MARGIN: f64 = 0.33;
 const COLD_NODES: u32 = 3;
 const COLD_SKEW: f64 = 2.0;
 /// And its window is taken longer by this factor: what is sent does not arrive at once.
@@ -100,6 +100,8 @@
 /// say counts as told within seconds, heard or not.
 const ASK_FIRST: Micros = 400_000;
 const ASK_DOUBLINGS: u32 = 3;
+/// The list may take so long for each node that asks.
+const ASK_PACE: Micros = 70_000;
 /// Work beyond a quota goes out only while a share of the ready workers has a free slot: so many times the
 /// share of work within quotas that was lost over a span, s.
 const SPARED: f64 = 3.0;
@@ -610,12 +612,20 @@
         self.fleet.follow(now, entries, whole);
     }
 
-    /// Backoff with jitter: the list serves all nodes in turn, and asking at once makes all late.
+    /// Backoff with jitter: the list serves all nodes in turn. What is asked beyond its pace waits, fails, and still
+    /// takes its turn, so that all who ask again soon keep each other out for good.
     pub(crate) fn ask_later(&mut self, now: Micros) {
         if self.settings.list_on_request {
-            let wait = (ASK_FIRST << self.ask_failures.min(ASK_DOUBLINGS)).min(self.settings.ask_within / 2);
+            let wait = (ASK_FIRST + self.ask_turn()) << self.ask_failures.min(ASK_DOUBLINGS);
             self.ask_failures += 1;
+            // After a failure a node may go without asking for four times as long; half of that is to spare.
+            let wait = wait.min(2 * self.settings.ask_within);
             self.ask_at = Some(now + micros(secs(wait) * (0.75 + 0.5 * self.rng.f64())));
         }
     }
+
+    /// A moment at random within the time that the list may need to answer all nodes, which may start together.
+    pub(crate) fn ask_turn(&mut self) -> Micros {
+        self.rng.u64(0..=u64::from(self.settings.nodes) * ASK_PACE)
+    }
 }
--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -201,7 +201,11 @@
 
     pub(crate) fn woken(&mut self, now: Micros, out: &mut Vec<Action>) {
         self.wake_at = self.wake_at.filter(|at| *at > now);
-        if self.ask_at.is_some_and(|at| at <= now) {
+        if self.ask_at == Some(0) {
+            // Just started, perhaps together with all others: it begins with the saved list.
+            self.asked = now;
+            self.ask_at = Some(now + self.ask_turn());
+        } else if self.ask_at.is_some_and(|at| at <= now) {
             // Should no answer come at all, ask again.
             self.asked = now;
             self.ask_at = Some(now + self.settings.ask_within / 2);
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -557,6 +557,39 @@
     assert!(gaps[1] > gaps[0]);
 }
 
+#[test]
+fn nodes_that_start_or_fail_together_ask_for_the_list_no_faster_than_it_can_answer() {
+    // A service that answers one call in 65 ms and fails what waits for 2 s: the busiest seconds, by what is asked.
+    let asked = |nodes: u32, fails: bool| {
+        let mut calls = Vec::new();
+        for rank in 0..nodes {
+            let s = Settings { nodes, rank, list_on_request: true, ..settings() };
+            let dispatcher = Dispatcher::new(s, u64::from(rank)).expect("good settings");
+            let mut node = Node { dispatcher, now: 10 * SECOND };
+            let mut last = Some(0);
+            while node.now < 60 * SECOND {
+                if node.tell(Event::Woken).contains(&Action::Watch) {
+                    calls.push(node.now);
+                    last = Some(node.now);
+                }
+                if fails && last.is_some_and(|at| at > 0 && node.now >= at + 2 * SECOND) {
+                    last = None;
+                    node.tell(Event::ListFailed);
+                }
+                node.now += 20_000;
+            }
+        }
+        let within = |from: Micros, to: Micros| calls.iter().filter(|at| (from..to).contains(*at)).count();
+        let first = (10..20).map(|s| within(s * SECOND, (s + 1) * SECOND)).max();
+        (first.unwrap_or(0), within(20 * SECOND, 60 * SECOND) / 40, calls.first().copied())
+    };
+    let (first, later, _) = asked(100, true);
+    assert!(first <= 30, "{first} calls in a second by 100 nodes that start together");
+    assert!(later <= 10, "{later} calls a second by 100 nodes that were failed");
+    let (_, _, one) = asked(3, false);
+    assert!(one.is_some_and(|at| at < 10 * SECOND + 300_000), "a few nodes ask at once: {one:?}");
+}
+
 #[test]
 fn told_work_steers_away_and_is_forgotten() {
     let mut s = settings();
