--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -17,8 +17,8 @@
 const KEPT: f64 = 0.9;
 const KEPT_KEYS: f64 = 8.0;
 const HOME: f64 = 0.8;
-/// Homes of a key for each worker that its part of the jobs would fill. A key that came once counts as so many jobs,
-/// beside so many others that may have come.
+/// Homes of a key for each worker that its part of the jobs would fill. A key that came once counts as so
+/// many jobs, beside so many others that may have come.
 pub(crate) const HOMES_SPARE: f64 = 1.5;
 pub(crate) const KEY_ONCE: f64 = 0.4;
 pub(crate) const KEY_PRIOR: f64 = 10.0;
@@ -83,8 +83,8 @@
 const COLD_MARGIN: f64 = 0.4;
 /// By a node whose turn it is among many, this share: those of two turns may fall into one window.
 const COLD_TURN_MARGIN: f64 = 0.25;
-/// Where several have a turn at once, each by itself may use so much, and no more than this part of the nodes do. A
-/// worker may draw so many times its even part of a node's work.
+/// Where several have a turn at once, each by itself may use so much, and no more than one in so many nodes
+/// do. A worker may draw so many times its even part of a node's work.
 const COLD_SHARED_MARGIN: f64 = 0.33;
 const COLD_NODES: u32 = 3;
 const COLD_SKEW: f64 = 2.0;
@@ -196,7 +196,7 @@
             false => Rank::Late,
         };
         let kind = &self.fleet.kinds[w.kind_at];
-        // Budgets keep queues from cold workers: what was met at the warm ones of the kind says nothing of them.
+        // Budgets keep queues from cold workers: what was met at warm ones of the kind says nothing of them.
         let met = if w.warmth < 1.0 { 0.0 } else { kind.wait };
         let (wait, r) = (p.wait.max(met), w.utilisation.max(kind.utilisation));
         (rank, Self::cost(p.run, wait, r) + crossing)
@@ -326,8 +326,9 @@
         whole * share - recent.map(|(_, work)| work).sum::<f64>()
     }
 
-    /// How many nodes may have a turn at a cold worker at once: as many as are likely to use up a part of its budget,
-    /// by what this node itself has to send and to how many workers. One alone of a hundred would hardly ever use it.
+    /// How many nodes may have a turn at a cold worker at once: as many as are likely to use up a part of
+    /// its budget, by what this node has to send and to how many workers. One of a hundred would hardly ever
+    /// use it.
     fn turns(&self, now: Micros, budget: f64) -> u64 {
         let window = secs(self.settings.fall_window) * COLD_STRETCH;
         let known_for = since(self.first_came, now).min(LOST_SPAN);
@@ -340,8 +341,8 @@
         (COLD_SHARED_MARGIN * budget / drawn.max(1e-9)).clamp(1.0, most) as u64
     }
 
-    /// Whether it is this node's turn at a cold worker. An even part of the budget would be too small for any job
-    /// where nodes are many, so they take turns by the clock: a window meets two of them at most.
+    /// Whether it is this node's turn at a cold worker. An even part of the budget would be too small for any
+    /// job where nodes are many, so they take turns by the clock: a window meets two turns at most.
     fn has_turn(&self, now: Micros, w: &Worker, nodes: u32, turns: u64) -> bool {
         let turn = now / micros(secs(self.settings.fall_window) * COLD_STRETCH).max(1);
         let place = u64::from(self.settings.rank / self.fleet.groups as u32);
@@ -612,8 +613,8 @@
         self.fleet.follow(now, entries, whole);
     }
 
-    /// Backoff with jitter: the list serves all nodes in turn. What is asked beyond its pace waits, fails, and still
-    /// takes its turn, so that all who ask again soon keep each other out for good.
+    /// Backoff with jitter: the list serves all nodes in turn. What is asked beyond its pace waits, fails,
+    /// and still takes its turn, so that all who ask again soon keep each other out for good.
     pub(crate) fn ask_later(&mut self, now: Micros) {
         if self.settings.list_on_request {
             let wait = (ASK_FIRST + self.ask_turn()) << self.ask_failures.min(ASK_DOUBLINGS);
@@ -624,7 +625,7 @@
         }
     }
 
-    /// A moment at random within the time that the list may need to answer all nodes, which may start together.
+    /// A random moment within the time that the list may need to answer all nodes, which may start together.
     pub(crate) fn ask_turn(&mut self) -> Micros {
         self.rng.u64(0..=u64::from(self.settings.nodes) * ASK_PACE)
     }
