--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -342,8 +342,8 @@
     }
 
     /// Whether it is this node's turn at a cold worker. An even part of the budget would be too small for any
-    /// job where nodes are many, so they take turns by the clock: a window meets two turns at most. Where several
-    /// have one at once, each goes by its own figure: how many do is then right on average only.
+    /// job where nodes are many, so they take turns by the clock: a window meets two turns at most. Where
+    /// several have one at once, each goes by its own figure: how many do is right on average only.
     fn has_turn(&self, now: Micros, w: &Worker, nodes: u32, turns: u64) -> bool {
         let turn = now / micros(secs(self.settings.fall_window) * COLD_STRETCH).max(1);
         let place = u64::from(self.settings.rank / self.fleet.groups as u32);
@@ -626,8 +626,8 @@
         }
     }
 
-    /// A random moment within the time that the list may need to answer all nodes, which may start together; and
-    /// soon enough to have asked before silence counts as being told.
+    /// A random moment within the time that the list may need to answer all nodes, which may start together;
+    /// and soon enough to have asked before silence counts as being told.
     pub(crate) fn ask_turn(&mut self) -> Micros {
         let all = u64::from(self.settings.nodes) * ASK_PACE;
         self.rng.u64(0..=all.min(self.settings.ask_within / 2))
