A safe job that waits where all nodes send it goes on to the next home of its key

Ruled out: sending (1.0 ms to the first attempt), lists (all had theirs), rules (none broken), memory (1 MB of 64). At fault: look_again in choice.rs, which left a waiting job where it was until it was doomed; copies stand in for that only where the settings allow two attempts. Change: a safe job with no start 150 ms after the foreseen one (the connect time-out of the settings, longer than any notice takes) is called off where it would now go elsewhere at less cost, that late start counted as its wait; each home that a job has tried opens one more. The test fails without it.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -70,6 +70,9 @@
 /// work is known, only silence can be why, which takes longer to tell.
 pub(crate) const LATE_START: f64 = 0.02;
 const SILENCE: f64 = 1.0;
+/// A job that could go again elsewhere is looked at anew once its start is this late, s: no notice is under way
+/// for so long.
+const LATE_FOR_GOOD: f64 = 0.15;
 /// Weight of one attempt in the share of those that start at once.
 pub(crate) const PROMPT_GAIN: f64 = 0.1;
 /// Second copies: each job earns this share of its work, the less the fewer start at once; most stored, s.
@@ -140,7 +143,7 @@
     /// One of this node's own workers, or, when none of those may take the job, one of as many others. No
     /// sooner: their work is not known, and in overload many nodes would flood the few that look best.
     fn choose(&mut self, now: Micros, job: &mut Job) -> Option<Promise> {
-        job.home_claim = self.fleet.home_claim(job.key);
+        job.home_claim = self.fleet.home_claim(job.key, job.attempts.len());
         let mut looked = std::mem::take(&mut self.looked);
         looked.clone_from(&self.fleet.near);
         let mut best = self.cheapest(now, job, &looked);
@@ -553,6 +556,29 @@
         }
     }
 
+    /// An attempt to call off, since the job would now be sooner done elsewhere: it has not started where it is,
+    /// and after a wait that nobody foresaw, as much again is to be expected. What other nodes send to a
+    /// worker shows here alone; many of them choose alike, and would queue at one while the next is free.
+    fn better_elsewhere(&mut self, now: Micros, job: &mut Job) -> Option<u32> {
+        let repeats = self.settings.classes[job.class].effect == Effect::Safe && self.retries >= 1.0;
+        if !repeats || !self.settings.may_cancel || self.settings.may_duplicate {
+            return None;
+        }
+        let (attempt, at) = job.live().next()?;
+        let flight = self.flight(job.id, attempt, at).filter(|f| f.started.is_none() && f.accepted)?;
+        let late = since(flight.sent, now) - flight.foreseen;
+        if late < LATE_FOR_GOOD {
+            return None;
+        }
+        self.survey_all(now);
+        job.attempts[attempt as usize].end = Some(Outcome::Cancelled);
+        let found = self.choose(now, job);
+        job.attempts[attempt as usize].end = None;
+        let (here, there) = (self.fleet.find(at)?, found.filter(|p| p.rank == Rank::Free)?);
+        let stays = Self::cost(self.promise(now, here, job).run, late, self.fleet.workers[here].utilisation);
+        (there.index != here && self.fleet.workers[there.index].cost < stays).then_some(attempt)
+    }
+
     /// None of its attempts has started, each later than it should by now.
     fn stuck(&self, now: Micros, job: &Job) -> bool {
         let least = if self.sees() { SILENCE } else { LATE_START };
@@ -574,7 +600,8 @@
             // Overload: work that can no longer earn, here or in a worker's queue, only delays work that can.
             self.give_up(now, &mut job, out);
         } else if !idle {
-            out.extend(self.unheard(now, &job).map(|attempt| Action::Cancel { job: id, attempt }));
+            let back = self.unheard(now, &job).or_else(|| self.better_elsewhere(now, &mut job));
+            out.extend(back.map(|attempt| Action::Cancel { job: id, attempt }));
             self.hedge(now, &mut job, out);
         }
         self.keep(job);
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -517,11 +517,11 @@
     }
 
     /// The least claim to a key of the ready workers that are at home with it: as many as its part of the jobs asks
-    /// for. All nodes with this list agree on their order.
-    pub fn home_claim(&self, key: Option<u64>) -> u64 {
+    /// for, and one more for each that the job has tried. All nodes with this list agree on their order.
+    pub fn home_claim(&self, key: Option<u64>, tried: usize) -> u64 {
         let Some(key) = key else { return u64::MAX };
         let wanted = self.key_share(key) * self.near.len() as f64 * HOMES_SPARE;
-        let homes = (wanted.ceil() as usize).clamp(1, self.near.len().max(1));
+        let homes = (wanted.ceil() as usize + tried).clamp(1, self.near.len().max(1));
         let mut claims: Vec<u64> = self.near.iter().map(|i| self.workers[*i].claim(key)).collect();
         if claims.is_empty() {
             return u64::MAX;
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -368,6 +368,38 @@
     assert_eq!(sent(&node.pass(SECOND)), None);
 }
 
+/// A node of so many that may have one attempt out of a job at a time, and has sent job 1 to the worker returned,
+/// which has taken it on.
+fn node_with_an_accepted_job(nodes: u32, class: usize) -> (Node, Option<u64>) {
+    let mut s = Settings { nodes, may_duplicate: false, ..settings() };
+    s.classes.iter_mut().for_each(|c| c.aim = 2 * SECOND);
+    let mut node = Node::new(s, &fleet(12));
+    let first = sent(&node.tell(Event::Offered(Offer { key: Some(7), ..offer(1, class, 0.1, node.now) })));
+    node.now += 10_000;
+    node.tell(Event::Accepted { job: JobId(1), attempt: 0 });
+    (node, first)
+}
+
+#[test]
+fn a_job_that_waits_where_all_send_it_moves_to_the_next_home_of_its_key() {
+    let called_off = Action::Cancel { job: JobId(1), attempt: 0 };
+    for nodes in [3, 300] {
+        let (mut node, first) = node_with_an_accepted_job(nodes, 0);
+        assert_eq!(node.pass(130_000), [], "its start may yet be told");
+        let actions = node.pass(30_000);
+        assert!(!actions.is_empty() && actions.iter().all(|a| *a == called_off), "{actions:?}");
+        let second = sent(&node.end(1, 0, Outcome::Cancelled));
+        assert!(second.is_some() && second != first, "{first:?}, {second:?}");
+        node.tell(Event::Accepted { job: JobId(1), attempt: 1 });
+        node.start(1, 1);
+        assert_eq!(node.pass(SECOND / 2), [], "what runs stays");
+    }
+    for class in [1, 2] {
+        let (mut node, _) = node_with_an_accepted_job(300, class);
+        assert_eq!(node.pass(SECOND), [], "class {class} may not run a second time elsewhere");
+    }
+}
+
 #[test]
 fn a_job_that_waits_past_any_start_in_time_is_called_off() {
     let mut node = Node::new(settings(), &fleet(1));
