An attempt that was called off stays out until its next hop has heard so

Ruled out: two nodes with one job (the id is in no other log), a call-back taken for another (none came), the module (it waited for the end of the first). At fault: withdraw in next_hop.rs, which reported the attempt as given up whether the next hop had heard it or not. That was without harm as long as what was withdrawn was not sent again; since jobs go on to the next home it is not. Change: a withdrawal is made again, 50 ms later and then at doubled spans up to 0.8 s, until the next hop answers or the job's time is up; the attempt ends only then. Counter curlewusher_withdrawals_unheard. The new test fails without it; the test on a crossing 202 now answers the withdrawal.

--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -37,6 +37,7 @@
     Sent, "curlewusher_delivery_attempts", "Delivery attempts begun";
     Accepted, "curlewusher_delivery_attempts_accepted", "Delivery attempts that a next hop took on";
     GivenUp, "curlewusher_delivery_attempts_given_up", "Delivery attempts given up";
+    WithdrawalsUnheard, "curlewusher_withdrawals_unheard", "Withdrawals that a next hop did not answer";
     EndedDone, "curlewusher_delivery_attempts_ended" { "outcome" = "done" }, "Delivery attempts ended, by outcome";
     EndedError, "curlewusher_delivery_attempts_ended" { "outcome" = "error" }, "";
     EndedFull, "curlewusher_delivery_attempts_ended" { "outcome" = "full" }, "";
--- a/crates/node/src/next_hop.rs
+++ b/crates/node/src/next_hop.rs
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 use tracing::{debug, trace};
 
 use crate::counters::{Counter, Counters};
@@ -39,6 +39,9 @@
 /// An attempt that is given up before its 202 was read waits for it so long: it may be on its way, and closing the
 /// connection gives up only what was not taken on.
 const CROSSING: Duration = Duration::from_millis(20);
+/// A withdrawal that was not answered is made again after this, doubled each time up to the most.
+const WITHDRAWN_AGAIN: Duration = Duration::from_millis(50);
+const WITHDRAWN_AGAIN_MOST: Duration = Duration::from_millis(800);
 /// Idle connections are looked through this often.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -201,6 +204,7 @@
         let _busy = Busy::new(&self.0.busy);
         let DeliveryAttempt { key, id, to, parcel, wait, give_up } = attempt;
         let mut give_up = Some(give_up);
+        let until = Instant::now() + wait;
         let request = || parcel.request(to, wait);
         let mut crossed = false;
         let exchange = self.exchange(to, request, &mut give_up, &mut crossed, wait + LATE_ACCEPTANCE).await;
@@ -213,7 +217,12 @@
                     None => crossed,
                 };
                 if given_up {
-                    self.withdraw(to, &id).await;
+                    // At its time-out as well it is told once.
+                    let until = until.max(Instant::now() + self.0.tuning.get().withdrawal_ms.millis());
+                    let told = timeout_at(until, self.withdraw(to, &id)).await;
+                    if told.is_err() {
+                        debug!(target: NEXT_HOP, request_id = %id, %to, "never withdrawn");
+                    }
                     self.report(Notice::GivenUp(key)).await;
                 }
                 return;
@@ -239,16 +248,23 @@
         self.report(Notice::Ended(key, outcome)).await;
     }
 
-    /// Tells a next hop that a job it has taken on is not wanted any more.
+    /// Tells a next hop that a job it has taken on is not wanted any more; returns once that has been heard. One that
+    /// has not heard it goes on with the job, and another attempt beside that would be a second copy.
     async fn withdraw(&self, to: SocketAddr, id: &str) {
         let request = || {
             Request::delete(format!("/jobs/{id}")).header(HOST, to.to_string()).body(Full::new(Bytes::new()))
         };
-        // One that cannot be told is out of reach; nothing more can be done there.
-        let longest = self.0.tuning.get().withdrawal_ms.millis();
-        if !matches!(self.exchange(to, request, &mut None, &mut false, longest).await, Exchange::Answered(..))
-        {
+        let mut pause = WITHDRAWN_AGAIN;
+        loop {
+            let longest = self.0.tuning.get().withdrawal_ms.millis();
+            let answer = self.exchange(to, request, &mut None, &mut false, longest).await;
+            if matches!(answer, Exchange::Answered(..)) {
+                return;
+            }
+            self.0.counters.add(Counter::WithdrawalsUnheard);
             debug!(target: NEXT_HOP, request_id = id, %to, "withdrawal not answered");
+            tokio::time::sleep(pause).await;
+            pause = (2 * pause).min(WITHDRAWN_AGAIN_MOST);
         }
     }
 
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -128,6 +128,11 @@
         std::iter::repeat_with(|| self.next()).find(|got| !got.message.start.is_empty()).expect("endless")
     }
 
+    /// The next request if one has come.
+    pub fn waiting(&self) -> Option<Got> {
+        self.got.try_iter().find(|got| !got.message.start.is_empty())
+    }
+
     /// Whether anything but ends of connections has come that was not looked at.
     pub fn has_more(&self) -> bool {
         self.got.try_iter().any(|got| !got.message.start.is_empty())
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -126,10 +126,42 @@
         got.answer("202 Accepted");
         node.signal("-CONT");
         // Closing the connection would leave the job to run, and another attempt beside it.
-        assert_eq!(hop.request().message.start, format!("DELETE /jobs/{id} HTTP/1.1"));
+        let call = hop.request();
+        assert_eq!(call.message.start, format!("DELETE /jobs/{id} HTTP/1.1"));
+        call.answer("200 OK");
     }
 }
 
+#[test]
+fn a_job_goes_on_elsewhere_only_once_its_withdrawal_was_heard() {
+    let (first, second) = (Server::start(), Server::start());
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &first), ("s-2", &second)]);
+    let client = write(node.address, &job("r1", "view", 8.0, ""));
+    // Whichever of the two it goes to takes it on and never starts it.
+    let (hop, got, other) = loop {
+        if let Some(got) = first.waiting() {
+            break (&first, got, &second);
+        }
+        if let Some(got) = second.waiting() {
+            break (&second, got, &first);
+        }
+    };
+    got.answer("202 Accepted");
+    for _ in 0..3 {
+        let call = hop.request();
+        assert_eq!(call.message.start, "DELETE /jobs/r1 HTTP/1.1");
+        assert!(!other.has_more(), "a second copy beside one that may still run");
+        call.reset();
+    }
+    let call = hop.request();
+    assert!(!other.has_more(), "a second copy beside one that may still run");
+    call.answer("200 OK");
+    other.request().answer("202 Accepted");
+    let name = if std::ptr::eq(other, &first) { "s-1" } else { "s-2" };
+    node.tell("r1", name, r#""state":"done","result":"x""#);
+    assert_eq!((answer(client).body.as_str(), node.count("curlewusher_withdrawals_unheard_total")), ("x", 3));
+}
+
 #[test]
 fn a_client_that_closes_is_gone_and_its_job_withdrawn() {
     let hop = Server::start();
