A key gets one more home only for each attempt that waited in vain

At fault: the count of all attempts in choose. Change: only attempts that were called off count. What fails or cannot be reached is not crowded; what keeps a job waiting is.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -143,7 +143,7 @@
     /// One of this node's own workers, or, when none of those may take the job, one of as many others. No
     /// sooner: their work is not known, and in overload many nodes would flood the few that look best.
     fn choose(&mut self, now: Micros, job: &mut Job) -> Option<Promise> {
-        job.home_claim = self.fleet.home_claim(job.key, job.attempts.len());
+        job.home_claim = self.fleet.home_claim(job.key, job.called_off());
         let mut looked = std::mem::take(&mut self.looked);
         looked.clone_from(&self.fleet.near);
         let mut best = self.cheapest(now, job, &looked);
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -399,6 +399,11 @@
         self.attempts.iter().find(|a| !a.end.is_some_and(Outcome::never_ran))
     }
 
+    /// Attempts that were called off. What fails or cannot be reached is not crowded; what keeps a job waiting is.
+    pub fn called_off(&self) -> usize {
+        self.attempts.iter().filter(|a| a.end == Some(Outcome::Cancelled)).count()
+    }
+
     pub fn tried(&self, worker: WorkerId) -> bool {
         self.attempts.iter().any(|a| a.worker == worker)
     }
@@ -517,11 +522,11 @@
     }
 
     /// The least claim to a key of the ready workers that are at home with it: as many as its part of the jobs asks
-    /// for, and one more for each that the job has tried. All nodes with this list agree on their order.
-    pub fn home_claim(&self, key: Option<u64>, tried: usize) -> u64 {
+    /// for, and one more for each where the job waited in vain. All nodes with this list agree on their order.
+    pub fn home_claim(&self, key: Option<u64>, in_vain: usize) -> u64 {
         let Some(key) = key else { return u64::MAX };
         let wanted = self.key_share(key) * self.near.len() as f64 * HOMES_SPARE;
-        let homes = (wanted.ceil() as usize + tried).clamp(1, self.near.len().max(1));
+        let homes = (wanted.ceil() as usize + in_vain).clamp(1, self.near.len().max(1));
         let mut claims: Vec<u64> = self.near.iter().map(|i| self.workers[*i].claim(key)).collect();
         if claims.is_empty() {
             return u64::MAX;
