--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -70,8 +70,8 @@
 /// work is known, only silence can be why, which takes longer to tell.
 pub(crate) const LATE_START: f64 = 0.02;
 const SILENCE: f64 = 1.0;
-/// A job that could go again elsewhere is looked at anew once its start is this late, s: no notice is under way
-/// for so long.
+/// A job that could go again elsewhere is looked at anew once its start is this late, s: no notice is under
+/// way for so long.
 const LATE_FOR_GOOD: f64 = 0.15;
 /// Weight of one attempt in the share of those that start at once.
 pub(crate) const PROMPT_GAIN: f64 = 0.1;
@@ -556,9 +556,9 @@
         }
     }
 
-    /// An attempt to call off, since the job would now be sooner done elsewhere: it has not started where it is,
-    /// and after a wait that nobody foresaw, as much again is to be expected. What other nodes send to a
-    /// worker shows here alone; many of them choose alike, and would queue at one while the next is free.
+    /// An attempt to call off, since the job would now cost less elsewhere: it has not started where it is,
+    /// and after a wait that nobody foresaw, as much again is to be expected. What other nodes send there
+    /// shows here alone; many of them choose alike, and would queue at one while the next is free.
     fn better_elsewhere(&mut self, now: Micros, job: &mut Job) -> Option<u32> {
         let repeats = self.settings.classes[job.class].effect == Effect::Safe && self.retries >= 1.0;
         if !repeats || !self.settings.may_cancel || self.settings.may_duplicate {
