--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -138,7 +138,10 @@
     let (node, _watch, _discovery) = Node::with(&[("s-1", &first), ("s-2", &second)]);
     let client = write(node.address, &job("r1", "view", 8.0, ""));
     // Whichever of the two it goes to takes it on and never starts it.
+    let begun = std::time::Instant::now();
     let (hop, got, other) = loop {
+        assert!(begun.elapsed() < LONG, "the job reached neither");
+        std::thread::yield_now();
         if let Some(got) = first.waiting() {
             break (&first, got, &second);
         }
