--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -168,7 +168,7 @@
 pub struct NextHop {
     /// A connection that has been idle for longer carries no further job.
     pub reuse_ms: Whole<0, 600_000>,
-    /// A next hop that does not answer a withdrawal within this is taken to be out of reach.
+    /// A withdrawal that a next hop does not answer within this is made again, while the job has time.
     pub withdrawal_ms: Whole<50, 10_000>,
 }
 
@@ -280,7 +280,7 @@
         "next_hop.withdrawal_ms",
         "ms, 50 to 10000",
         true,
-        "a worker that does not answer a withdrawal within this counts as out of reach",
+        "a withdrawal that a worker does not answer within this is made again, until it is heard or the job's time is up",
     ),
     field(
         "metrics.answer_bounds_ms",
