A job does not go back to a worker that may still say how an earlier attempt ended there

A call-back names job and worker, no attempt (dispatch.rs, told()): a late lost or returned of an attempt that was called off, or whose connection broke, ends the next one there, and a third would run beside it. Ruled out: workers that go on after a heard withdrawal (no call-back after one in 21,463 cancelled attempts that had gone on elsewhere). Not ruled out: a connection closed before its 202, where the closing does not arrive. Change: may_send() passes over a worker where an attempt of the job was called off or lost.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -289,6 +289,7 @@
         let takes = w.life == Life::Ready && s.classes[job.class].kind.is_none_or(|k| k == w.kind);
         let allowed = job.attempts.len() < (s.max_attempts as usize).min(MAX_ATTEMPTS)
             && (s.may_duplicate || job.live().next().is_none());
+        let allowed = allowed && !job.may_still_be_told_of(w.id);
         open && takes && allowed && self.may_repeat(now, w, job) && job.load() <= self.cold_budget(now, w)
     }
 
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -404,6 +404,13 @@
         self.attempts.iter().filter(|a| a.end == Some(Outcome::Cancelled)).count()
     }
 
+    /// Whether a worker may still say how an earlier attempt there ended: one that was called off, or broke off. Its
+    /// words name the job and no attempt, so that they would end the next one there, which runs on.
+    pub fn may_still_be_told_of(&self, worker: WorkerId) -> bool {
+        let open = |end| matches!(end, Some(Outcome::Cancelled | Outcome::Lost));
+        self.attempts.iter().any(|a| a.worker == worker && open(a.end))
+    }
+
     pub fn tried(&self, worker: WorkerId) -> bool {
         self.attempts.iter().any(|a| a.worker == worker)
     }
