--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -91,7 +91,7 @@
 const COLD_SHARED_MARGIN: f64 = 0.33;
 const COLD_NODES: u32 = 3;
 const COLD_SKEW: f64 = 2.0;
-/// All cold workers that a node has a turn at draw so much of what it has to send, wherever the rest is jammed.
+/// All cold workers that a node has a turn at draw so much of what it has to send, where the rest is jammed.
 const COLD_DRAWN: f64 = 0.1;
 /// In one node's own part a worker counts for no more than so many times the slots that node saw there.
 const COLD_UNSEEN: f64 = 1.5;
@@ -331,7 +331,7 @@
             (_, 1) => COLD_TURN_MARGIN,
             _ => COLD_SHARED_MARGIN,
         };
-        // What is reckoned for others is right on average; a busy node's is too much, and must not be its own alone.
+        // What is reckoned for others is right on average; a busy node's is too much for it alone.
         let sure = slots.min(COLD_UNSEEN * self.fleet.own_slots(w));
         a_slot * sure * share - recent.map(|(_, work)| work).sum::<f64>()
     }
