Design of daily operation; calls, phases and bans as a crate without I/O

crates/operation reads calls, holds the table of phases and moves (a drain can be left again, a process that handed over takes back) and the workers that are out. Errors say what an operator can do. Invariants driven by random moves, calls and bytes; nothing uses the crate yet, so nothing changes in the node.

--- /dev/null
+++ b/crates/operation/src/bans.rs
@@ -0,0 +1,113 @@
+//! Owns which core workers operators have taken out, and which ids were ever listed. It must never judge a worker.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use crate::call::{Refusal, Verdict};
+
+/// So many core workers can be out at once, and so many ids are remembered as listed: a site of two hundred that are
+/// all replaced ten times a day is far below it.
+pub const MOST_OUT: usize = 1024;
+const MOST_LISTED: usize = 8192;
+
+/// The core workers that are out, by their names in discovery's list.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bans {
+    out: BTreeSet<String>,
+    listed: BTreeSet<String>,
+}
+
+impl Bans {
+    /// The list names these; what it says of them changes no ban.
+    pub fn listed<'a>(&mut self, names: impl IntoIterator<Item = &'a str>) {
+        for name in names {
+            if self.listed.len() < MOST_LISTED && !self.listed.contains(name) {
+                self.listed.insert(name.to_owned());
+            }
+        }
+    }
+
+    /// Nothing more to this one; done as well where it is out already.
+    pub fn disable(&mut self, name: &str) -> Verdict {
+        self.known(name)?;
+        if !self.out.contains(name) && self.out.len() >= MOST_OUT {
+            return Err(Refusal::TooManyOut(MOST_OUT));
+        }
+        self.out.insert(name.to_owned());
+        Ok(())
+    }
+
+    /// Back again, however often it was taken out; done as well where it is not out.
+    pub fn enable(&mut self, name: &str) -> Verdict {
+        self.known(name)?;
+        self.out.remove(name);
+        Ok(())
+    }
+
+    fn known(&self, name: &str) -> Verdict {
+        match self.listed.contains(name) {
+            true => Ok(()),
+            false => Err(Refusal::NeverListed(name.to_owned())),
+        }
+    }
+
+    /// Whether it is out.
+    pub fn is_out(&self, name: &str) -> bool {
+        self.out.contains(name)
+    }
+
+    /// Those that are out.
+    pub fn out(&self) -> impl Iterator<Item = &str> {
+        self.out.iter().map(String::as_str)
+    }
+
+    /// Takes on what another process of this node knows, whose bans are the node's.
+    pub fn inherit(&mut self, older: Bans) {
+        self.listed(older.listed.iter().map(String::as_str));
+        self.out.extend(older.out);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::collections::BTreeMap;
+
+    proptest! {
+        /// A ban holds from its call until the call back, whatever is listed in between and however often the node
+        /// changes its process; an id that no list has named gets a no.
+        #[test]
+        fn a_ban_holds_until_its_call_back(steps in prop::collection::vec((0u8..4, 0u8..6), 0..60)) {
+            let (mut bans, mut told) = (Bans::default(), BTreeMap::new());
+            for (what, which) in steps {
+                let name = format!("s-{which}");
+                let listed = told.contains_key(&name);
+                match what {
+                    0 => {
+                        bans.listed([name.as_str()]);
+                        told.entry(name).or_insert(false);
+                    }
+                    1 => {
+                        prop_assert_eq!(bans.disable(&name).is_ok(), listed);
+                        told.entry(name).and_modify(|out| *out = true);
+                    }
+                    2 => {
+                        prop_assert_eq!(bans.enable(&name).is_ok(), listed);
+                        told.entry(name).and_modify(|out| *out = false);
+                    }
+                    _ => {
+                        let mut newer = Bans::default();
+                        newer.inherit(bans);
+                        bans = newer;
+                    }
+                }
+                for (name, out) in &told {
+                    prop_assert_eq!(bans.is_out(name), *out);
+                }
+            }
+        }
+    }
+}
