The second address, and a drain that operators can end

`lifecycle.rs` only went forward, so a drain could not be left.

Drained closes connections that have stood idle for 200 ms, sends others on with their answer, serves what still comes, and does not end. SIGTERM in it ends the node as before.

Three tests on the program; without the closing of idle connections the first one hangs.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -29,6 +29,9 @@
     name: String,
     listen: String,
     discovery: String,
+    /// The second address, for operators; without it there is none.
+    #[serde(default)]
+    console: Option<String>,
     seed: String,
     limits: Limits,
     known: ListMessage,
@@ -40,6 +43,7 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    pub console: Option<SocketAddr>,
     pub seed: u64,
     pub limits: Limits,
     pub known: ListMessage,
@@ -48,8 +52,12 @@
 }
 
 /// The variables that stand before what a field of the file says.
-pub const VARIABLES: [(&str, &str); 3] =
-    [("name", "RELAY_NAME"), ("listen", "RELAY_LISTEN"), ("discovery", "RELAY_DISCOVERY")];
+pub const VARIABLES: [(&str, &str); 4] = [
+    ("name", "RELAY_NAME"),
+    ("listen", "RELAY_LISTEN"),
+    ("discovery", "RELAY_DISCOVERY"),
+    ("console", "RELAY_CONSOLE"),
+];
 
 /// Where the configuration is: in the environment, and in the operator's file if there is one.
 pub struct Told {
@@ -112,6 +120,10 @@
             name: variable("RELAY_NAME").unwrap_or(file.name),
             listen: address("RELAY_LISTEN", "listen", file.listen)?,
             discovery: address("RELAY_DISCOVERY", "discovery", file.discovery)?,
+            console: match variable("RELAY_CONSOLE").or(file.console) {
+                Some(text) => Some(address("RELAY_CONSOLE", "console", text)?),
+                None => None,
+            },
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|_| format!("config: seed: not a hexadecimal number of 64 bits: {}", file.seed))?,
             limits: file.limits,
--- a/crates/node/src/lifecycle.rs
+++ b/crates/node/src/lifecycle.rs
@@ -1,9 +1,12 @@
-//! Owns the phases of the program, from its start to its exit.
-//! It must never touch a socket or a job: the other parts ask it which phase it is, and act on that themselves.
+//! Owns the phase that the program is in, from its start to its exit, as an object that all parts can ask.
+//! It must never touch a socket or a job, nor know a move that the table in `curlewusher_operation::phase` has not.
 
-use std::cell::Cell;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+pub use curlewusher_operation::phase::{Move, Phase};
+
 /// After SIGTERM the front still sends new connections here for up to 0.4 s, and clients use what they have.
 pub const DRAIN_AT_LEAST: Duration = Duration::from_millis(700);
 
@@ -12,35 +15,28 @@
 /// So long before it the last answers go out.
 pub const LAST_ANSWERS: Duration = Duration::from_millis(400);
 
-/// A phase of the program.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// It listens, and has no transport map yet.
-    Starting,
-    /// It serves.
-    Ready,
-    /// It was told to end: it serves on and answers all that it has taken.
-    Draining,
-    /// Everything is answered.
-    Stopped,
-}
-
-/// The one object that knows the phase. Phases only go forward.
+/// The one object that knows the phase; operators' calls ask it from a thread of their own.
+#[derive(Clone)]
 pub struct Lifecycle {
-    phase: Cell<Phase>,
+    /// Place in [`Phase::ALL`].
+    at: Arc<AtomicUsize>,
 }
 
 impl Lifecycle {
     pub fn new() -> Self {
-        Lifecycle { phase: Cell::new(Phase::Starting) }
+        Lifecycle { at: Arc::new(AtomicUsize::new(0)) }
     }
 
     pub fn phase(&self) -> Phase {
-        self.phase.get()
+        Phase::ALL[self.at.load(Ordering::Relaxed)]
     }
 
-    /// Goes on to a later phase; an earlier one is passed over, as when the first list comes while draining.
-    pub fn enter(&self, phase: Phase) {
-        self.phase.set(self.phase.get().max(phase));
+    /// Moves to the phase that the table has for it, and says which that is; none where it has none, as when a list
+    /// comes while the program ends. Called by the node's own thread only.
+    pub fn go(&self, by: Move) -> Option<Phase> {
+        let phase = self.phase().after(by)?;
+        let at = Phase::ALL.iter().position(|p| *p == phase)?;
+        self.at.store(at, Ordering::Relaxed);
+        Some(phase)
     }
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,6 +4,7 @@
 
 mod check;
 mod config;
+mod console;
 mod counters;
 mod dispatch;
 mod lifecycle;
@@ -20,8 +21,8 @@
 
 /// Takes jobs from clients, sends each to one of many unlike workers, and answers every one of them once.
 ///
-/// The platform's configuration is the JSON file that RELAY_CONFIG names; RELAY_NAME, RELAY_LISTEN and
-/// RELAY_DISCOVERY stand before what it says.
+/// The platform's configuration is the JSON file that RELAY_CONFIG names; RELAY_NAME, RELAY_LISTEN,
+/// RELAY_DISCOVERY and RELAY_CONSOLE stand before what it says.
 #[derive(Parser)]
 #[command(name = "curlewusher", version)]
 struct CommandLine {
--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -35,7 +35,7 @@
 
 use crate::counters::{Counter, Counters};
 use crate::dispatch::{Answer, Clock, Notice, Queue, Taken, Ticket, Word};
-use crate::lifecycle::{Lifecycle, Phase};
+use crate::lifecycle::Lifecycle;
 use crate::logs::SENDER_SIDE;
 use crate::next_hop::{IDEMPOTENCY_KEY, Parcel, X_DEADLINE, X_REQUEST_ID};
 
@@ -129,6 +129,12 @@
         self.since.get().elapsed() >= most
     }
 
+    /// Whether its client can go on elsewhere unharmed: it has sent nothing, and for so long that nothing of it is
+    /// likely to be on its way. One that is sending may finish.
+    fn can_go_on(&self) -> bool {
+        matches!(self.stage.get(), Stage::New | Stage::Idle) && !self.next_hop.get() && self.can_yield()
+    }
+
     /// Whether it can make way. A young one may have sent a request that was not read yet.
     fn can_yield(&self) -> bool {
         let least = match self.stage.get() {
@@ -287,7 +293,7 @@
     clock: Clock,
     /// Names of the classes, and whether their jobs carry a key.
     classes: Vec<(String, bool)>,
-    lifecycle: Rc<Lifecycle>,
+    lifecycle: Lifecycle,
     counters: Counters,
     tuning: Rc<Cell<Tuning>>,
     callers: RefCell<Vec<Weak<Caller>>>,
@@ -441,7 +447,7 @@
         clock: Clock,
         site: &Site,
         most: usize,
-        lifecycle: Rc<Lifecycle>,
+        lifecycle: Lifecycle,
         counters: Counters,
         tuning: Rc<Cell<Tuning>>,
     ) -> Self {
@@ -476,7 +482,9 @@
             loop {
                 sleep(LOOK).await;
                 let idle = self.shared.tuning.get().idle_ms.millis();
-                self.callers().iter().filter(|caller| caller.overdue(idle)).for_each(|caller| caller.end());
+                let sends_on = self.shared.lifecycle.phase().sends_on();
+                let goes = |caller: &&Rc<Caller>| caller.overdue(idle) || sends_on && caller.can_go_on();
+                self.callers().iter().filter(goes).for_each(|caller| caller.end());
             }
         };
         tokio::join!(self.take_connections(listener), look);
@@ -578,15 +586,20 @@
         }
     }
 
+    /// Closes clients' connections that carry no request.
+    pub fn send_on(&self) {
+        for caller in self.callers() {
+            if caller.stage.get() != Stage::Busy && !caller.next_hop.get() {
+                caller.end();
+            }
+        }
+    }
+
     /// Closes idle clients' connections, and returns once nothing that was taken is unanswered.
     pub async fn finish(&self) {
         loop {
             let answered = self.shared.answered.notified();
-            for caller in self.callers() {
-                if caller.stage.get() != Stage::Busy && !caller.next_hop.get() {
-                    caller.end();
-                }
-            }
+            self.send_on();
             if self.shared.open.get() == 0 {
                 return;
             }
@@ -616,8 +629,8 @@
         let mut reply = match (request.method(), request.uri().path()) {
             (&Method::POST, "/callback") => self.callback(request).await,
             (&Method::GET, "/ready") => Ok(match shared.lifecycle.phase() {
-                Phase::Ready => reply(StatusCode::OK, "ready\n"),
-                phase => reply(StatusCode::SERVICE_UNAVAILABLE, format!("{phase:?}\n")),
+                phase if phase.wants_clients() => reply(StatusCode::OK, "ready\n"),
+                phase => reply(StatusCode::SERVICE_UNAVAILABLE, format!("{phase}\n")),
             }),
             (&Method::GET, "/metrics") => {
                 let mut reply = reply(StatusCode::OK, shared.counters.text());
@@ -656,8 +669,8 @@
         });
         if let Some(caller) = &self.caller {
             caller.enter(Stage::Idle);
-            let drains = shared.lifecycle.phase() >= Phase::Draining && !caller.next_hop.get();
-            if drains || caller.last.get() {
+            let sends_on = shared.lifecycle.phase().sends_on() && !caller.next_hop.get();
+            if sends_on || caller.last.get() {
                 // The client is to go on elsewhere.
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -5,15 +5,17 @@
 use std::time::Duration;
 
 use curlewusher::Dispatcher;
+use curlewusher_operation::call::{Call, Refusal, Verdict, answer};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tracing::{error, info};
 
 use crate::config::{Config, Told};
+use crate::console;
 use crate::counters::{Counter, Counters};
 use crate::dispatch::{Clock, Dispatch, Notice, QUEUE_ROOM};
-use crate::lifecycle::{DRAIN_AT_LEAST, DRAIN_AT_MOST, LAST_ANSWERS, Lifecycle, Phase};
+use crate::lifecycle::{DRAIN_AT_LEAST, DRAIN_AT_MOST, LAST_ANSWERS, Lifecycle, Move};
 use crate::logs::{Logs, NODE};
 use crate::next_hop::NextHops;
 use crate::sender_side::SenderSide;
@@ -43,11 +45,11 @@
     let mut hang_up = handle(SignalKind::hangup(), "SIGHUP")?;
 
     let config = Config::read(told)?;
-    let Config { name, listen, discovery, seed, limits, known, mut site, operator } = config;
+    let Config { name, listen, discovery, console, seed, limits, known, mut site, operator } = config;
     let logs = Logs::start(&operator.log)?;
     let sender_side_tuning = Rc::new(Cell::new(operator.sender_side));
     let next_hop_tuning = Rc::new(Cell::new(operator.next_hop));
-    let lifecycle = Rc::new(Lifecycle::new());
+    let lifecycle = Lifecycle::new();
     let bounds: Vec<f64> = operator.metrics.answer_bounds_ms.iter().map(|ms| *ms as f64 / 1e3).collect();
     let counters = Counters::new(&site.classes, &bounds, logs.dropped());
     let clock = Clock::new();
@@ -63,7 +65,8 @@
     let (queue, notices) = mpsc::channel(QUEUE_ROOM);
     let (ask, asked) = mpsc::channel(1);
     let (move_to, moved) = watch::channel(discovery);
-    let sockets = limits.sockets - RESERVED_SOCKETS.min(limits.sockets / 4);
+    let spared = RESERVED_SOCKETS.min(limits.sockets / 4) + console.map_or(0, |_| console::SOCKETS);
+    let sockets = limits.sockets - spared;
     let next_hops = NextHops::new(
         queue.clone(),
         counters.clone(),
@@ -98,14 +101,20 @@
     let listening = sender_side.listen(listen).and_then(|listener| Ok((listener.local_addr()?, listener)));
     let (listen, listener) = listening.map_err(|e| format!("config: listen: {listen}: {e}"))?;
 
+    let opened = console.map(|at| console::open(at, lifecycle.clone())).transpose();
+    let (operators, mut calls) = opened.map_err(|e| e.to_string())?.unzip();
+
     let dispatch = spawn_local(dispatch);
     let map = spawn_local(map.run(asked, moved));
     let sweep = spawn_local(next_hops.clone().sweep());
     let accept = spawn_local(sender_side.clone().accept(listener));
     if listed {
-        lifecycle.enter(Phase::Ready);
+        lifecycle.go(Move::Listed);
     }
     info!(target: NODE, "curlewusher {name}: serves on {listen}");
+    if let Some(at) = operators {
+        info!(target: NODE, "curlewusher {name}: operators are answered at {at}");
+    }
 
     let reloads = async {
         while hang_up.recv().await.is_some() {
@@ -126,9 +135,17 @@
             }
         }
     };
+    let operated = async {
+        while let Some((call, verdict)) = next_call(&mut calls).await {
+            let said = carry_out(&call, &lifecycle);
+            info!(target: NODE, "curlewusher {name}: {call}: {}", answer(&Ok(said.clone())).trim_end());
+            // An operator who no longer waits may ask again.
+            let _ = verdict.send(said);
+        }
+    };
     let ended = async {
         terminate.recv().await;
-        lifecycle.enter(Phase::Draining);
+        lifecycle.go(Move::Terminate);
         info!(target: NODE, "curlewusher {name}: drains");
         // Only a dispatch task that has ended does not hear it, and that is said below.
         let _ = ending.send(Notice::Ending(answered_within)).await;
@@ -142,11 +159,13 @@
             }
         };
         let _ = tokio::time::timeout(LAST_WORDS, rest).await;
-        lifecycle.enter(Phase::Stopped);
+        lifecycle.go(Move::Answered);
     };
     // Without the dispatch task or the transport map a node is deaf: better to end than to hang on.
     tokio::select! {
         () = ended => {}
+        // Without its second address nobody could end a drain.
+        () = operated => return Err("the second address is gone".into()),
         // Without its signals it could still serve, but nobody could tell it anything.
         () = reloads => return Err("SIGHUP is no longer delivered".into()),
         end = dispatch => return Err(format!("the dispatch task ended: {end:?}")),
@@ -156,3 +175,25 @@
     logs.figures(&counters.text());
     Ok(())
 }
+
+/// The next call of an operator; never, where there is no second address.
+async fn next_call(calls: &mut Option<mpsc::Receiver<console::Handed>>) -> Option<console::Handed> {
+    match calls {
+        Some(calls) => calls.recv().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Does what a call asks for, in this process.
+fn carry_out(call: &Call, lifecycle: &Lifecycle) -> Verdict {
+    if lifecycle.phase().ends() {
+        return Err(Refusal::Ending);
+    }
+    match call {
+        Call::Ready => return Err(Refusal::NotDone),
+        Call::Drain => _ = lifecycle.go(Move::Drain),
+        Call::Undrain => _ = lifecycle.go(Move::Undrain),
+        Call::Disable(_) | Call::Enable(_) => return Err(Refusal::NotDone),
+    }
+    Ok(())
+}
--- a/crates/node/src/transport_map.rs
+++ b/crates/node/src/transport_map.rs
@@ -4,7 +4,6 @@
 use std::future::{Future, pending};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -22,7 +21,7 @@
 
 use crate::counters::{Counter, Counters};
 use crate::dispatch::{NextHop, Notice, Queue};
-use crate::lifecycle::{Lifecycle, Phase};
+use crate::lifecycle::{Lifecycle, Move};
 use crate::logs::TRANSPORT_MAP;
 use crate::next_hop::Parcel;
 
@@ -193,7 +192,7 @@
     pub names: Names,
     pub index: u64,
     pub queue: Queue<Parcel>,
-    pub lifecycle: Rc<Lifecycle>,
+    pub lifecycle: Lifecycle,
     pub counters: Counters,
 }
 
@@ -255,7 +254,7 @@
                     if live.as_ref().is_some_and(|watch| watch.from == self.discovery) {
                         self.index = message.index;
                     }
-                    self.lifecycle.enter(Phase::Ready);
+                    self.lifecycle.go(Move::Listed);
                     let hops = self.names.hops(&message.endpoints);
                     let (index, entries, whole) = (message.index, hops.len(), message.snapshot);
                     debug!(target: TRANSPORT_MAP, index, entries, whole, "list or change");
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -69,6 +69,13 @@
     )
 }
 
+/// An operator's call, and the line that answers it.
+pub fn call(at: SocketAddr, line: &str) -> String {
+    let mut said = String::new();
+    BufReader::new(write(at, line)).read_line(&mut said).expect("an answer");
+    said.trim_end().to_owned()
+}
+
 /// What a next hop got, and the connection to answer it on.
 pub struct Got {
     pub message: Message,
@@ -195,6 +202,29 @@
     )
 }
 
+/// The same, with a second address for operators.
+pub fn operated(discovery: SocketAddr, known: &[String]) -> String {
+    config(discovery, known).replacen('{', r#"{"console":"127.0.0.1:0","#, 1)
+}
+
+/// A client's connection that is kept.
+pub struct Client(BufReader<TcpStream>);
+
+impl Client {
+    pub fn connect(to: SocketAddr) -> Client {
+        Client(BufReader::new(write(to, "")))
+    }
+
+    pub fn send(&mut self, request: &str) {
+        self.0.get_mut().write_all(request.as_bytes()).expect("it reads");
+    }
+
+    /// The next answer; none where the connection has ended instead.
+    pub fn answer(&mut self) -> Option<Message> {
+        Message::read(&mut self.0)
+    }
+}
+
 /// The program under test.
 pub struct Node {
     pub address: SocketAddr,
@@ -294,6 +324,14 @@
 
     /// A node that knows these next hops, its open watch, and discovery.
     pub fn with(hops: &[(&str, &Server)]) -> (Node, Watch, Server) {
+        Node::configured(hops, config)
+    }
+
+    /// The same, with a configuration of that making.
+    pub fn configured(
+        hops: &[(&str, &Server)],
+        config: impl Fn(SocketAddr, &[String]) -> String,
+    ) -> (Node, Watch, Server) {
         let discovery = Server::start();
         let known: Vec<_> =
             hops.iter().map(|(name, hop)| endpoint(name, hop.address, "in_service")).collect();
@@ -325,6 +363,13 @@
         value.unwrap_or_else(|| panic!("no {series} in {text}"))
     }
 
+    /// The second address, as the node's second line says it.
+    pub fn operators(&self) -> SocketAddr {
+        let line = self.says();
+        let at = line.split("operators are answered at ").nth(1).and_then(|at| at.parse().ok());
+        at.unwrap_or_else(|| panic!("{line}"))
+    }
+
     pub fn signal(&self, which: &str) {
         let id = self.child.as_ref().expect("it runs").id().to_string();
         assert!(Command::new("kill").args([which, &id]).status().expect("kill is there").success());
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -2,6 +2,7 @@
 
 mod command_line;
 mod common;
+mod operation;
 
 use std::io::{Read, Write};
 use std::net::TcpListener;
--- /dev/null
+++ b/crates/node/tests/operation/mod.rs
@@ -0,0 +1,77 @@
+//! Daily operation, played on the program as a process: drains, maintenance, a version beside another.
+
+use std::io::Read;
+
+use crate::common::*;
+
+#[test]
+fn a_drain_sends_clients_on_and_its_end_brings_them_back() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::configured(&[("s-1", &hop)], operated);
+    let operators = node.operators();
+    assert_eq!(call(operators, "READY\n"), "+OK");
+    let (mut idle, mut busy) = (Client::connect(node.address), Client::connect(node.address));
+    busy.send(&job("r1", "order", 8.0, ""));
+    let got = hop.next();
+    got.answer("202 Accepted");
+    assert_eq!(call(operators, "DRAIN\n"), "+OK");
+    assert_eq!(node.get("/ready").status(), 503);
+    assert!(call(operators, "READY\n").starts_with("-ERR drained: send UNDRAIN"));
+    // Who is idle is closed; who waits gets the result, and is told to go on elsewhere.
+    assert!(idle.answer().is_none());
+    // What still comes while the drain lasts is served.
+    let mut late = Client::connect(node.address);
+    late.send(&job("r2", "view", 8.0, ""));
+    hop.request().answer("202 Accepted");
+    for (id, client) in [("r1", &mut busy), ("r2", &mut late)] {
+        node.tell(id, "s-1", r#""state":"done","result":"x""#);
+        let answer = client.answer().expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+        assert!(client.answer().is_none(), "it is closed");
+    }
+    // A drain can be told twice, and ended in its first moment.
+    for line in ["DRAIN\n", "UNDRAIN\n", "UNDRAIN\n", "DRAIN\n", "UNDRAIN\n"] {
+        assert_eq!(call(operators, line), "+OK", "{line}");
+    }
+    assert_eq!((node.get("/ready").status(), call(operators, "READY\n").as_str()), (200, "+OK"));
+    let mut kept = Client::connect(node.address);
+    kept.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(kept.answer().and_then(|a| a.header("connection").map(str::to_owned)), None);
+}
+
+#[test]
+fn a_drained_node_that_is_told_to_end_answers_and_ends_well() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::configured(&[("s-1", &hop)], operated);
+    let operators = node.operators();
+    let client = write(node.address, &job("r1", "view", 8.0, ""));
+    hop.next().answer("202 Accepted");
+    assert_eq!(call(operators, "DRAIN\n"), "+OK");
+    node.signal("-TERM");
+    while !node.says().ends_with("n0: drains") {}
+    assert!(call(operators, "UNDRAIN\n").starts_with("-ERR this process is ending"));
+    node.tell("r1", "s-1", r#""state":"done","result":"x""#);
+    assert_eq!(answer(client).status(), 200);
+    assert_eq!(node.end().status.code(), Some(0));
+}
+
+#[test]
+fn callers_who_finish_no_call_keep_nobody_waiting() {
+    let (node, _watch, _discovery) = Node::configured(&[], operated);
+    let operators = node.operators();
+    let mut silent: Vec<_> =
+        (0..200).map(|n| write(operators, if n % 2 == 0 { "" } else { "READ" })).collect();
+    assert!(call(operators, "UNDRAIN\n").starts_with("+OK"));
+    // The first of them has made way; it is told by its end.
+    assert_eq!(silent[0].read(&mut [0; 8]).unwrap_or(0), 0);
+    for (line, said) in [
+        ("\n", "-ERR empty line"),
+        ("REBOOT\n", "-ERR no such call"),
+        ("DISABLE\n", "-ERR DISABLE needs the id"),
+        ("READY now\n", "-ERR READY takes nothing more"),
+        ("\u{e9}\n", "-ERR not plain text"),
+    ] {
+        assert!(call(operators, line).starts_with(said), "{line}");
+    }
+    assert!(call(operators, &"x".repeat(3000)).starts_with("-ERR line over"));
+}
