Core workers taken out and put back by operators; the list changes no ban

Change: the fleet keeps those that are out beside the list, the gate of every send asks for it, homes and capacity pass them over. One that comes back counts as started now unless the list tells a start since, its failures are forgotten, and the first job that would be in time there, or after 1.5 s any that may be repeated, goes there. Ids ever listed are kept by the dispatch task, which hears operators before its queue.

Random rules test with maintenance in it; sent-while-out is caught by its checker.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -82,6 +82,9 @@
 pub(crate) const SURVEY_LIFE: Micros = 4_000;
 /// Open jobs are looked at this often.
 pub(crate) const SWEEP: Micros = 10_000;
+/// A worker that operators put back is tried with the first job that would be in time there, and after this with
+/// any; one that may be repeated, s.
+const OWED_SPAN: f64 = 1.5;
 /// A cold worker's budget is used up to this share: hints are rough.
 const COLD_MARGIN: f64 = 0.4;
 /// By a node whose turn it is among many, this share: those of two turns may fall into one window.
@@ -205,6 +208,13 @@
         let kind = &self.fleet.kinds[w.kind_at];
         // Budgets keep queues from cold workers: what was met at warm ones of the kind says nothing of them.
         let met = if w.warmth < 1.0 { 0.0 } else { kind.wait };
+        // Put back by operators and not tried since: who tries nothing there never learns that it serves.
+        let tried = |at| {
+            rank == Rank::Free || since(at, now) > OWED_SPAN && p.run + p.wait < since(now, job.deadline)
+        };
+        if w.owed.is_some_and(tried) && self.repeatable(job) {
+            return (Rank::Free, 0.0);
+        }
         let (wait, r) = (p.wait.max(met), w.utilisation.max(kind.utilisation));
         (rank, Self::cost(p.run, wait, r) + crossing)
     }
@@ -285,14 +295,18 @@
         let s = &self.settings;
         // Rule 1: nothing after the final answer or the deadline.
         let open = !job.ended && !job.bound && now < job.deadline;
-        // Rule 3: nothing new to a worker that drains or is gone.
-        let takes = w.life == Life::Ready && s.classes[job.class].kind.is_none_or(|k| k == w.kind);
+        // Rule 3: nothing new to a worker that drains or is gone, or that operators have taken out.
+        let takes = self.open_to_work(w) && s.classes[job.class].kind.is_none_or(|k| k == w.kind);
         let allowed = job.attempts.len() < (s.max_attempts as usize).min(MAX_ATTEMPTS)
             && (s.may_duplicate || job.live().next().is_none());
         let allowed = allowed && !job.may_still_be_told_of(w.id);
         open && takes && allowed && self.may_repeat(now, w, job) && job.load() <= self.cold_budget(now, w)
     }
 
+    fn open_to_work(&self, w: &Worker) -> bool {
+        w.life == Life::Ready && !self.fleet.out.contains_key(&w.id)
+    }
+
     /// Rule 2: an effect must not happen twice.
     fn may_repeat(&self, now: Micros, w: &Worker, job: &Job) -> bool {
         let Some(first) = job.may_have_run() else { return true };
@@ -327,6 +341,8 @@
         let slots = self.fleet.proven_slots(w);
         let share = match (self.group_nodes(), self.turns(now, a_slot * slots)) {
             (1, _) => COLD_MARGIN,
+            // One job, once: operators put it back, and wait to see it used.
+            _ if w.owed.is_some() => COLD_TURN_MARGIN,
             (nodes, turns) if !w.near || !self.has_turn(now, w, nodes, turns) => 0.0,
             (_, 1) => COLD_TURN_MARGIN,
             _ => COLD_SHARED_MARGIN,
@@ -370,16 +386,19 @@
     /// Whether work keeps away from a worker: while it does not take on what it was sent, while it is paused
     /// after failures, and then until a repeatable job has shown that it serves. A late start shows in w.
     fn sick(&self, now: Micros, w: &Worker, job: &Job) -> bool {
-        let repeatable = self.settings.classes[job.class].effect == Effect::Safe;
-        let on_trial = w.strikes > 1 && !(repeatable && w.flights.is_empty());
+        let on_trial = w.strikes > 1 && !(self.repeatable(job) && w.flights.is_empty());
         now < w.avoid_until || on_trial || w.silent(now, self.settings.accepts_within)
     }
 
+    fn repeatable(&self, job: &Job) -> bool {
+        self.settings.classes[job.class].effect == Effect::Safe
+    }
+
     /// An attempt to take back from a silent worker, where another may have the job. Where none may, the job
     /// waits on: the worker may only be slow.
     fn unheard(&self, now: Micros, job: &Job) -> Option<u32> {
         let (attempt, at) = job.live().next().filter(|_| self.settings.may_cancel)?;
-        let other = |w: &Worker| w.id != at && w.life == Life::Ready && self.may_repeat(now, w, job);
+        let other = |w: &Worker| w.id != at && self.open_to_work(w) && self.may_repeat(now, w, job);
         let silent = self.flight(job.id, attempt, at)?.unheard(now, self.settings.accepts_within);
         (silent && self.fleet.workers.iter().any(other)).then_some(attempt)
     }
@@ -572,8 +591,11 @@
     /// and after a wait that nobody foresaw, as much again is to be expected. What other nodes send there
     /// shows here alone; many of them choose alike, and would queue at one while the next is free.
     fn better_elsewhere(&mut self, now: Micros, job: &mut Job) -> Option<u32> {
-        let repeats = self.settings.classes[job.class].effect == Effect::Safe && self.retries >= 1.0;
-        if !repeats || !self.settings.may_cancel || self.settings.may_duplicate {
+        if !self.repeatable(job)
+            || self.retries < 1.0
+            || !self.settings.may_cancel
+            || self.settings.may_duplicate
+        {
             return None;
         }
         let (attempt, at) = job.live().next()?;
--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -120,6 +120,11 @@
             }
             Event::ClientGone { job } => self.client_gone(job, out),
             Event::Told { from, data } => self.hear(now, from, data),
+            Event::Maintenance { worker, out: true } => self.fleet.take_out(now, worker),
+            Event::Maintenance { worker, out: false } => {
+                self.fleet.put_back(now, worker);
+                self.dispatch(now, out);
+            }
             Event::Ending { by } => {
                 self.ends = by;
                 self.woken(now, out);
@@ -340,7 +345,7 @@
         }
         w.sent.add(now, job.load(), R_SPAN);
         self.fleet.kinds[w.kind_at].sent.add(now, job.load(), R_SPAN);
-        w.dirty = true;
+        (w.dirty, w.owed) = (true, None);
         self.news = true;
         job.key.into_iter().for_each(|key| w.heed_key(key));
         w.flights.push(Flight {
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -328,6 +328,13 @@
         /// Its bytes.
         data: &'a [u8],
     },
+    /// An operator takes a worker out, so that nothing more goes there whatever the list says, or puts it back.
+    Maintenance {
+        /// Which worker.
+        worker: WorkerId,
+        /// Whether it is taken out; may be said again of one that is out, or that is not.
+        out: bool,
+    },
     /// This node is to end: all that it has taken must be answered by then.
     Ending {
         /// The moment.
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -1,6 +1,6 @@
 //! What a dispatcher remembers of workers and jobs: records and plain arithmetic, no decisions.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use arrayvec::ArrayVec;
 
@@ -206,6 +206,8 @@
     pub strikes: u32,
     pub avoid_until: Micros,
     pub unreachable: bool,
+    /// When operators put it back, while nothing has been sent there since.
+    pub owed: Option<Micros>,
     /// Own backlog changed since the last message about it.
     pub dirty: bool,
     pub told_at: Micros,
@@ -246,6 +248,7 @@
             strikes: 0,
             avoid_until: 0,
             unreachable: false,
+            owed: None,
             dirty: false,
             told_at: 0,
             surveyed: 0,
@@ -318,6 +321,16 @@
         }
     }
 
+    /// Operators put it back, having taken it out at `since`. They do that to restart it, and the list is late: unless
+    /// that tells of a start since then, it is taken to start now.
+    pub fn put_back(&mut self, since: Micros, now: Micros) {
+        if self.started < since || self.started == 0 {
+            self.started = now;
+        }
+        (self.strikes, self.avoid_until, self.unreachable) = (0, 0, false);
+        (self.owed, self.surveyed) = (Some(now), 0);
+    }
+
     /// Takes an attempt off the worker.
     pub fn land(&mut self, job: JobId, attempt: u32) -> Option<Flight> {
         let at = self.flights.iter().position(|f| f.job == job && f.attempt == attempt)?;
@@ -481,6 +494,10 @@
 /// The workers that the list has named, by number.
 pub(crate) struct Fleet {
     pub workers: Vec<Worker>,
+    /// Those that operators have taken out, and when: kept beside the list, which may drop one and name it again.
+    pub out: BTreeMap<WorkerId, Micros>,
+    /// Those put back that the list does not name at present, and when.
+    back: BTreeMap<WorkerId, Micros>,
     /// Places of this node's own workers: those that its group of nodes shares.
     pub near: Vec<usize>,
     /// How many of those are cold.
@@ -519,6 +536,8 @@
             most_groups: most_groups(settings),
             rank: settings.rank as usize,
             workers: Vec::new(),
+            out: BTreeMap::new(),
+            back: BTreeMap::new(),
             kinds: Vec::new(),
             all: Pace::UNKNOWN,
             median_slots: 1.0,
@@ -623,6 +642,9 @@
                 Err(i) => {
                     let mut w = Worker::new(entry, self.kind_at(entry.kind));
                     w.size = size;
+                    if let Some(back) = self.back.remove(&entry.worker) {
+                        w.put_back(back, back);
+                    }
                     self.workers.insert(i, w);
                 }
             }
@@ -631,10 +653,30 @@
         self.regroup();
     }
 
+    /// Nothing more goes there until it is put back.
+    pub fn take_out(&mut self, now: Micros, id: WorkerId) {
+        self.back.remove(&id);
+        self.out.entry(id).or_insert(now);
+        self.regroup();
+    }
+
+    /// It may be used again; what was held against it before counts no more.
+    pub fn put_back(&mut self, now: Micros, id: WorkerId) {
+        let Some(since) = self.out.remove(&id) else { return };
+        match self.find(id) {
+            Some(i) => self.workers[i].put_back(since, now),
+            // One for each id that was taken out: those are bounded.
+            None => _ = self.back.insert(id, now),
+        }
+        self.regroup();
+    }
+
     /// Deals the ready workers out to the groups, each zone's and kind's evenly. Nodes with the same list agree.
     fn regroup(&mut self) {
         self.near.clear();
-        self.near.extend((0..self.workers.len()).filter(|i| self.workers[*i].life == Life::Ready));
+        let takes =
+            |i: &usize| self.workers[*i].life == Life::Ready && !self.out.contains_key(&self.workers[*i].id);
+        self.near.extend((0..self.workers.len()).filter(takes));
         let workers = &self.workers;
         self.groups = self.most_groups.min(self.near.len() / GROUP_WORKERS).max(1);
         self.near.sort_by_key(|i| (workers[*i].zone.0, workers[*i].kind.0, *i));
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -206,6 +206,50 @@
 
 /// Work of `hint` s that nodes, each offered a job every `gap`, send to one worker, cold since the start, with the
 /// moments.
+#[test]
+fn a_worker_that_operators_took_out_gets_nothing_until_they_put_it_back() {
+    let workers = fleet(2);
+    let mut node = Node::new(settings(), &workers);
+    let out = |out| Event::Maintenance { worker: WorkerId(0), out };
+    node.tell(out(true));
+    node.tell(out(true));
+    // Whatever the list says meanwhile: gone, there again, started anew.
+    let mut restarted = workers.clone();
+    restarted[0].started = node.now;
+    for (job, entries) in [&workers[1..], &workers[..], &restarted[..]].into_iter().enumerate() {
+        node.tell(Event::Listed { entries, whole: true });
+        assert_eq!(sent(&node.offer(job as u64, 0, 0.1)), Some(1));
+        node.start(job as u64, 0);
+        node.end(job as u64, 0, Outcome::Done);
+        node.now += 10_000;
+    }
+    // Its only other worker being gone, a job waits.
+    node.tell(Event::Listed { entries: &restarted[..1], whole: true });
+    assert_eq!(sent(&node.offer(9, 0, 0.1)), None);
+    // One call back is enough, however many calls out there were.
+    assert_eq!(sent(&node.tell(out(false))), Some(0));
+}
+
+#[test]
+fn a_worker_put_back_is_tried_though_it_failed_before_and_is_taken_to_be_cold() {
+    let workers = fleet(2);
+    let mut node = Node::new(settings(), &workers);
+    node.teach(&workers, 0, 1.0, 100);
+    // Its failures would keep it out for seconds, and its long run is dearer than the other's.
+    for job in 0..8 {
+        let worker = sent(&node.offer(job, 2, 0.05));
+        node.start(job, 0);
+        node.now += 50_000;
+        node.end(job, 0, if worker == Some(0) { Outcome::Error } else { Outcome::Done });
+    }
+    node.tell(Event::Maintenance { worker: WorkerId(0), out: true });
+    node.pass(SECOND);
+    node.tell(Event::Maintenance { worker: WorkerId(0), out: false });
+    assert_eq!(sent(&node.offer(20, 0, 0.02)), Some(0));
+    // It counts as cold: another job would fill its budget, and goes to the warm one.
+    assert_eq!(sent(&node.offer(21, 0, 0.15)), Some(1));
+}
+
 fn sent_to_a_cold_worker(nodes: u32, hint: f64, gap: Micros, span: Micros) -> Vec<(Micros, f64)> {
     let mut sends = Vec::new();
     for rank in 0..nodes {
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use common::*;
 use curlewusher::*;
@@ -34,6 +34,8 @@
     settings: Settings,
     jobs: BTreeMap<JobId, Known>,
     list: BTreeMap<WorkerId, Listing>,
+    /// Those that operators have taken out.
+    out: BTreeSet<WorkerId>,
     /// Most slots that any worker was seen to use: bounds the capacity at speed 1.
     slots: f64,
     cold: BTreeMap<WorkerId, Vec<(Micros, f64)>>,
@@ -41,7 +43,8 @@
 
 impl Checker {
     fn new(settings: Settings) -> Self {
-        Checker { settings, jobs: BTreeMap::new(), list: BTreeMap::new(), slots: 1.0, cold: BTreeMap::new() }
+        let (jobs, list, cold) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Checker { settings, jobs, list, out: BTreeSet::new(), slots: 1.0, cold }
     }
 
     fn offered(&mut self, o: &Offer) {
@@ -97,6 +100,9 @@
         if entry.life != Life::Ready {
             return Err("rule 3: sent to a draining worker".into());
         }
+        if self.out.contains(&worker) {
+            return Err("rule 3: sent to a worker that operators have taken out".into());
+        }
         if k.tries.len() >= s.max_attempts as usize
             || (!s.may_duplicate && k.tries.iter().any(|t| t.outcome.is_none()))
         {
@@ -236,6 +242,14 @@
                 self.tell(Event::Told { from, data: &data })?;
             }
             33 => self.tell(Event::ListFailed)?,
+            36 => {
+                let (worker, out) = (WorkerId(self.rng.u64(0..8)), self.rng.bool());
+                match out {
+                    true => _ = self.checker.out.insert(worker),
+                    false => _ = self.checker.out.remove(&worker),
+                }
+                self.tell(Event::Maintenance { worker, out })?;
+            }
             34..36 if self.next_job > 0 => {
                 let job = JobId(self.rng.u64(0..self.next_job));
                 if let Some(k) = self.checker.jobs.get_mut(&job) {
@@ -340,6 +354,8 @@
     c.list.get_mut(&WorkerId(0)).unwrap().life = Life::Draining;
     says(c.check(now, &send(0)), "rule 3");
     says(c.check(now, &send(9)), "rule 3");
+    c.out.insert(WorkerId(1));
+    says(c.check(now, &send(1)), "rule 3");
 
     let mut c = fresh(0);
     c.list.get_mut(&WorkerId(0)).unwrap().started = now - 1;
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -12,6 +12,8 @@
 use curlewusher::{
     Action, ClassId, Dispatcher, Event, JobId, Life, Listing, Micros, Offer, Outcome, TenantId, WorkerId,
 };
+use curlewusher_operation::bans::Bans;
+use curlewusher_operation::call::Verdict;
 use tokio::sync::{mpsc, oneshot};
 use tracing::{debug, trace};
 
@@ -144,6 +146,13 @@
     Ending(Duration),
 }
 
+/// What operators and the other process of this node want of the task. It is looked at before all that clients and next
+/// hops bring, so that it does not wait behind a crowd.
+pub enum Order {
+    /// Nothing more to the next hop of that name, or work for it again.
+    Maintain { name: String, out: bool, verdict: oneshot::Sender<Verdict> },
+}
+
 pub type Queue<P> = mpsc::Sender<Notice<P>>;
 
 /// Where an attempt stands.
@@ -188,6 +197,7 @@
     clock: Clock,
     carrier: C,
     queue: mpsc::Receiver<Notice<C::Parcel>>,
+    orders: mpsc::Receiver<Order>,
     /// Asks for a watch on the transport map.
     watch: mpsc::Sender<()>,
     counters: Counters,
@@ -195,6 +205,8 @@
     held: HashMap<JobId, Held<C::Parcel>>,
     ids: HashMap<Rc<str>, JobId>,
     hops: HashMap<WorkerId, (Rc<str>, SocketAddr)>,
+    /// Next hops that operators have taken out.
+    bans: Bans,
     /// When each was last listed to have started.
     starts: HashMap<WorkerId, Micros>,
     due: BTreeSet<(Micros, Due)>,
@@ -207,6 +219,7 @@
         clock: Clock,
         carrier: C,
         queue: mpsc::Receiver<Notice<C::Parcel>>,
+        orders: mpsc::Receiver<Order>,
         watch: mpsc::Sender<()>,
         counters: Counters,
     ) -> Self {
@@ -215,12 +228,14 @@
             clock,
             carrier,
             queue,
+            orders,
             watch,
             counters,
             next_job: 0,
             held: HashMap::new(),
             ids: HashMap::new(),
             hops: HashMap::new(),
+            bans: Bans::default(),
             starts: HashMap::new(),
             due: BTreeSet::new(),
             actions: Vec::new(),
@@ -243,6 +258,7 @@
             };
             tokio::select! {
                 biased;
+                Some(order) = self.orders.recv() => self.obey(order),
                 notice = self.queue.recv() => match notice {
                     Some(notice) => self.hear(notice),
                     None => return,
@@ -264,6 +280,19 @@
         }
     }
 
+    fn obey(&mut self, order: Order) {
+        match order {
+            Order::Maintain { name, out, verdict } => {
+                let said = if out { self.bans.disable(&name) } else { self.bans.enable(&name) };
+                if said.is_ok() {
+                    self.tell(Event::Maintenance { worker: WorkerId::of_name(&name), out });
+                }
+                // An operator who no longer waits may ask again.
+                let _ = verdict.send(said);
+            }
+        }
+    }
+
     fn hear(&mut self, notice: Notice<C::Parcel>) {
         match notice {
             Notice::Taken(taken) => self.take(taken),
@@ -433,6 +462,7 @@
 
     fn listed(&mut self, now: Micros, hops: Vec<NextHop>, whole: bool) {
         self.counters.add(Counter::ListChanges);
+        self.bans.listed(hops.iter().map(|hop| &*hop.name));
         let entries: Vec<Listing> = hops.iter().map(|hop| hop.listing.clone()).collect();
         if whole {
             self.hops.clear();
--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -482,7 +482,9 @@
             loop {
                 sleep(LOOK).await;
                 let idle = self.shared.tuning.get().idle_ms.millis();
-                let sends_on = self.shared.lifecycle.phase().sends_on();
+                // A node that ends keeps them open a little longer: clients use what they have until then.
+                let phase = self.shared.lifecycle.phase();
+                let sends_on = phase.sends_on() && !phase.ends();
                 let goes = |caller: &&Rc<Caller>| caller.overdue(idle) || sends_on && caller.can_go_on();
                 self.callers().iter().filter(goes).for_each(|caller| caller.end());
             }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -7,14 +7,14 @@
 use curlewusher::Dispatcher;
 use curlewusher_operation::call::{Call, Refusal, Verdict, answer};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tracing::{error, info};
 
 use crate::config::{Config, Told};
 use crate::console;
 use crate::counters::{Counter, Counters};
-use crate::dispatch::{Clock, Dispatch, Notice, QUEUE_ROOM};
+use crate::dispatch::{Clock, Dispatch, Notice, Order, QUEUE_ROOM};
 use crate::lifecycle::{DRAIN_AT_LEAST, DRAIN_AT_MOST, LAST_ANSWERS, Lifecycle, Move};
 use crate::logs::{Logs, NODE};
 use crate::next_hop::NextHops;
@@ -26,6 +26,8 @@
 const RESERVED_SOCKETS: usize = 48;
 /// A next hop that is well answers a job, on a connection that is up, long before this, in microseconds.
 const ACCEPTANCE: u64 = 400_000;
+/// Orders to the dispatch task that wait; each is done in microseconds.
+const ORDERS_ROOM: usize = 64;
 /// The last withdrawals may take this long after the last answer.
 const LAST_WORDS: Duration = Duration::from_millis(1500);
 
@@ -78,8 +80,9 @@
     let mut names = Names::new(&site);
     let hops = names.hops(&known.endpoints);
     let listed = !hops.is_empty();
+    let (order, orders) = mpsc::channel(ORDERS_ROOM);
     let dispatch =
-        Dispatch::new(dispatcher, clock, next_hops.clone(), notices, ask, counters.clone()).run(hops);
+        Dispatch::new(dispatcher, clock, next_hops.clone(), notices, orders, ask, counters.clone()).run(hops);
     let map = TransportMap {
         discovery,
         names,
@@ -137,7 +140,7 @@
     };
     let operated = async {
         while let Some((call, verdict)) = next_call(&mut calls).await {
-            let said = carry_out(&call, &lifecycle);
+            let said = carry_out(&call, &lifecycle, &order).await;
             info!(target: NODE, "curlewusher {name}: {call}: {}", answer(&Ok(said.clone())).trim_end());
             // An operator who no longer waits may ask again.
             let _ = verdict.send(said);
@@ -185,7 +188,7 @@
 }
 
 /// Does what a call asks for, in this process.
-fn carry_out(call: &Call, lifecycle: &Lifecycle) -> Verdict {
+async fn carry_out(call: &Call, lifecycle: &Lifecycle, order: &mpsc::Sender<Order>) -> Verdict {
     if lifecycle.phase().ends() {
         return Err(Refusal::Ending);
     }
@@ -193,7 +196,13 @@
         Call::Ready => return Err(Refusal::NotDone),
         Call::Drain => _ = lifecycle.go(Move::Drain),
         Call::Undrain => _ = lifecycle.go(Move::Undrain),
-        Call::Disable(_) | Call::Enable(_) => return Err(Refusal::NotDone),
+        Call::Disable(name) | Call::Enable(name) => {
+            let (verdict, said) = oneshot::channel();
+            let maintain =
+                Order::Maintain { name: name.clone(), out: matches!(call, Call::Disable(_)), verdict };
+            order.send(maintain).await.map_err(|_| Refusal::NotDone)?;
+            return said.await.unwrap_or(Err(Refusal::NotDone));
+        }
     }
     Ok(())
 }
--- a/crates/node/tests/operation/mod.rs
+++ b/crates/node/tests/operation/mod.rs
@@ -75,3 +75,33 @@
     }
     assert!(call(operators, &"x".repeat(3000)).starts_with("-ERR line over"));
 }
+
+#[test]
+fn a_next_hop_that_is_out_gets_nothing_until_its_call_back_whatever_discovery_says() {
+    let (first, second) = (Server::start(), Server::start());
+    let hops = [("s-1", &first), ("s-2", &second)];
+    let (node, watch, _discovery) = Node::configured(&hops, operated);
+    let operators = node.operators();
+    assert!(call(operators, "DISABLE s-9\n").starts_with("-ERR never listed: s-9"));
+    assert!(call(operators, "ENABLE s-9\n").starts_with("-ERR never listed: s-9"));
+    assert_eq!(call(operators, "DISABLE s-1\n"), "+OK");
+    assert_eq!(call(operators, "DISABLE s-1\n"), "+OK");
+    let serve = |id: &str, hop: &Server, name: &str| {
+        let client = write(node.address, &job(id, "view", 8.0, ""));
+        hop.request().answer("202 Accepted");
+        node.tell(id, name, r#""state":"done","result":"x""#);
+        assert_eq!(answer(client).status(), 200);
+    };
+    let line = |hop: &Server, name, status: &str| endpoint(name, hop.address, status);
+    let again = line(&first, "s-1", "in_service").replace("\"since_ms\":0", "\"since_ms\":5");
+    // Discovery lists it as gone, then as started anew: it stays out, and the id stays known.
+    watch.line(&list(43, false, &[line(&first, "s-1", "terminated")]));
+    serve("r1", &second, "s-2");
+    watch.line(&list(44, false, std::slice::from_ref(&again)));
+    (0..4).for_each(|n| serve(&format!("r2{n}"), &second, "s-2"));
+    assert!(!first.has_more(), "it is out");
+    watch.end();
+    assert_eq!(call(operators, "ENABLE s-1\n"), "+OK");
+    // Its first job is the next that may be repeated, though it counts as cold.
+    serve("r3", &first, "s-1");
+}
