Frames between two processes of one node: bounded, versioned, checksummed

Need: during an upgrade both processes tell each other of call-backs, claims and operators' calls, and what was learned goes over; whatever the other version sends must do no harm.

Change: operation::frame has one enum of what is said, its bytes, and a decoder that is fed pieces of any size. Foreign, other version, torn, damaged, too long and malformed are errors of their own, each with what an operator can do. Phase and Refusal get serde forms, so that a verdict goes over as it is.

Tested: any frames cut anywhere come out as they went in; one byte changed anywhere gives no frame; each error by its cause. Nothing uses it yet.

--- a/crates/operation/src/call.rs
+++ b/crates/operation/src/call.rs
@@ -5,6 +5,7 @@
 
 use std::fmt;
 
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::phase::Phase;
@@ -56,7 +57,7 @@
 }
 
 /// Why a call that could be read was not done. Each says what an operator can do.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
 pub enum Refusal {
     /// The process does not serve in this phase.
     #[error("{0}: {advice}", advice = .0.advice())]
--- /dev/null
+++ b/crates/operation/src/frame.rs
@@ -0,0 +1,387 @@
+//! Owns the form of what two processes of one node say to each other: frames, with their version and checksum. It must
+//! never wait, and never take in more than the bounds here, whatever the other end sends.
+//!
+//! A frame is a header and a payload. The header has the magic, the version of the form, the kind, the number of the
+//! request (an answer carries that of its request), the payload's length, and a checksum of kind, number and payload.
+
+use std::net::SocketAddr;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::call::{Call, Verdict};
+
+const MAGIC: &[u8; 4] = b"CWUS";
+/// Any change to the form of a frame or of a payload has a new version.
+pub const VERSION: u8 = 1;
+const HEADER: usize = 4 + 1 + 1 + 8 + 4 + 4;
+/// No record of what was learned is longer, in bytes.
+pub const LONGEST_HERITAGE: usize = 4 << 20;
+/// No other payload is longer, in bytes: a call-back's body is the longest that is sent.
+pub const LONGEST_OTHER: usize = 128 << 10;
+
+/// Why a process that asks to be the successor is turned away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
+pub enum Why {
+    /// There are two processes of the node already. Asking again later may do.
+    #[error("another process of this node is still coming or going; it is asked again")]
+    Busy,
+    /// The one that is asked is of another node.
+    #[error("the process there is of another node; give each node its own RELAY_LISTEN and RELAY_NAME")]
+    OtherNode,
+    /// The one that is asked has been told to end.
+    #[error("the process there is ending; the new one starts cold, nothing is to be done")]
+    Ending,
+    /// What the newer one said could not be read.
+    #[error("the process there does not know this version; the new one starts cold, nothing is to be done")]
+    OtherVersion,
+}
+
+/// What one process says to the other. A request has the answer that is named with it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Frame {
+    /// The newer one wants to be the successor; answered by `Welcome` or `TurnedAway`.
+    Hello {
+        /// The node's name.
+        node: String,
+        /// Where clients reach the node.
+        listen: String,
+    },
+    /// It is the successor, and this is what the older one has learned so far.
+    Welcome(Bytes),
+    /// It is not.
+    TurnedAway(Why),
+    /// The newer one is ready; answered by `Yours`.
+    TakeOver,
+    /// New connections are the newer one's, and this is what the older one has learned since.
+    Yours(Bytes),
+    /// The newer one is ending and the older one is to take the node back; has no answer.
+    GiveBack,
+    /// The body of a call-back for a job that the sender does not hold; answered by `Heard`.
+    Word(Bytes),
+    /// Whether the call-back was for a job held there.
+    Heard(bool),
+    /// The sender is about to take a job of this id; answered by `Claimed`.
+    Claim(String),
+    /// Whether it may.
+    Claimed(bool),
+    /// An operator's call that holds for both; answered by `Done`.
+    Call(Call),
+    /// What the other process says to the call.
+    Done(Verdict),
+    /// A next hop that has not yet heard of a withdrawal, which is the receiver's from now on; has no answer.
+    Withdraw {
+        /// The next hop.
+        to: SocketAddr,
+        /// The job's id.
+        id: String,
+    },
+}
+
+/// Bytes that are no frame, or a frame that cannot be sent. Each says what an operator can do.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum FrameError {
+    /// Another program speaks there.
+    #[error(
+        "what speaks on the node's socket in $TMPDIR is no curlewusher; give the node a $TMPDIR of its own"
+    )]
+    Foreign,
+    /// A version of this program with another form of frames.
+    #[error(
+        "the other process speaks form {theirs}, this one {ours}; the new one starts cold, nothing is to be done"
+    )]
+    OtherVersion {
+        /// The form of the other.
+        theirs: u8,
+        /// The form of this one.
+        ours: u8,
+    },
+    /// The bytes end within a frame.
+    #[error("the other process ended in the middle of a message; each goes on alone, nothing is to be done")]
+    Torn,
+    /// The checksum is that of other bytes.
+    #[error("a message between both processes is damaged; each goes on alone, report it if it comes again")]
+    BadSum,
+    /// A payload over the bound of its kind.
+    #[error("a message of {length} bytes between both processes is over the bound; the new one starts cold")]
+    TooLong {
+        /// In bytes.
+        length: usize,
+    },
+    /// A whole frame that says nothing known.
+    #[error("a message of kind {kind} from the other process cannot be read; each goes on alone, report it")]
+    Malformed {
+        /// The kind's number.
+        kind: u8,
+    },
+}
+
+fn json<T: Serialize>(value: &T) -> Bytes {
+    // These types have no form that cannot be written; an empty payload would be Malformed at the other end.
+    serde_json::to_vec(value).unwrap_or_default().into()
+}
+
+fn from_json<T: DeserializeOwned>(payload: &[u8]) -> Option<T> {
+    serde_json::from_slice(payload).ok()
+}
+
+fn text(payload: &[u8]) -> Option<String> {
+    String::from_utf8(payload.to_vec()).ok()
+}
+
+impl Frame {
+    fn kind(&self) -> u8 {
+        match self {
+            Frame::Hello { .. } => 1,
+            Frame::Welcome(_) => 2,
+            Frame::TurnedAway(_) => 3,
+            Frame::TakeOver => 4,
+            Frame::Yours(_) => 5,
+            Frame::GiveBack => 6,
+            Frame::Word(_) => 7,
+            Frame::Heard(_) => 8,
+            Frame::Claim(_) => 9,
+            Frame::Claimed(_) => 10,
+            Frame::Call(_) => 11,
+            Frame::Done(_) => 12,
+            Frame::Withdraw { .. } => 13,
+        }
+    }
+
+    fn payload(&self) -> Bytes {
+        match self {
+            Frame::Hello { node, listen } => json(&(node, listen)),
+            Frame::Welcome(bytes) | Frame::Yours(bytes) | Frame::Word(bytes) => bytes.clone(),
+            Frame::TurnedAway(why) => json(why),
+            Frame::TakeOver | Frame::GiveBack => Bytes::new(),
+            Frame::Heard(yes) | Frame::Claimed(yes) => json(yes),
+            Frame::Claim(id) => Bytes::copy_from_slice(id.as_bytes()),
+            // As an operator would write it: it is read again by the same rules.
+            Frame::Call(call) => call.to_string().into(),
+            Frame::Done(verdict) => json(verdict),
+            Frame::Withdraw { to, id } => json(&(to, id)),
+        }
+    }
+
+    fn read(kind: u8, payload: Bytes) -> Option<Frame> {
+        Some(match kind {
+            1 => from_json(&payload).map(|(node, listen)| Frame::Hello { node, listen })?,
+            2 => Frame::Welcome(payload),
+            3 => Frame::TurnedAway(from_json(&payload)?),
+            4 if payload.is_empty() => Frame::TakeOver,
+            5 => Frame::Yours(payload),
+            6 if payload.is_empty() => Frame::GiveBack,
+            7 => Frame::Word(payload),
+            8 => Frame::Heard(from_json(&payload)?),
+            9 => Frame::Claim(text(&payload)?),
+            10 => Frame::Claimed(from_json(&payload)?),
+            11 => Frame::Call(Call::read(&payload).ok()?),
+            12 => Frame::Done(from_json(&payload)?),
+            13 => from_json(&payload).map(|(to, id)| Frame::Withdraw { to, id })?,
+            _ => return None,
+        })
+    }
+
+    /// The frame as bytes, under the number of its request; `TooLong` where the payload is over its bound.
+    pub fn encode(&self, seq: u64) -> Result<Bytes, FrameError> {
+        let (kind, payload) = (self.kind(), self.payload());
+        let length = payload.len();
+        if length > longest(kind) {
+            return Err(FrameError::TooLong { length });
+        }
+        let mut out = BytesMut::with_capacity(HEADER + length);
+        out.put_slice(MAGIC);
+        out.put_u8(VERSION);
+        out.put_u8(kind);
+        out.put_u64(seq);
+        out.put_u32(length as u32);
+        out.put_u32(sum(kind, seq, &payload));
+        out.put_slice(&payload);
+        Ok(out.freeze())
+    }
+}
+
+fn longest(kind: u8) -> usize {
+    match kind {
+        2 | 5 => LONGEST_HERITAGE,
+        _ => LONGEST_OTHER,
+    }
+}
+
+fn sum(kind: u8, seq: u64, payload: &[u8]) -> u32 {
+    let mut sum = crc32fast::Hasher::new();
+    sum.update(&[kind]);
+    sum.update(&seq.to_be_bytes());
+    sum.update(payload);
+    sum.finalize()
+}
+
+/// Reads frames from bytes that come in pieces of any size. After an error it gives the same error again: what follows
+/// has no known beginning.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    held: BytesMut,
+}
+
+impl Decoder {
+    /// Takes in what has come. The caller reads all frames out before it feeds more, which bounds what is held.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.held.extend_from_slice(bytes);
+    }
+
+    /// The next whole frame and its number; none where more must come first.
+    pub fn take(&mut self) -> Result<Option<(u64, Frame)>, FrameError> {
+        let begin = self.held.len().min(MAGIC.len());
+        if self.held[..begin] != MAGIC[..begin] {
+            return Err(FrameError::Foreign);
+        }
+        if let Some(&theirs) = self.held.get(MAGIC.len()).filter(|theirs| **theirs != VERSION) {
+            return Err(FrameError::OtherVersion { theirs, ours: VERSION });
+        }
+        if self.held.len() < HEADER {
+            return Ok(None);
+        }
+        let mut header = &self.held[MAGIC.len() + 1..HEADER];
+        let (kind, seq) = (header.get_u8(), header.get_u64());
+        let (length, told) = (header.get_u32() as usize, header.get_u32());
+        if length > longest(kind) {
+            return Err(FrameError::TooLong { length });
+        }
+        let Some(payload) = self.held.get(HEADER..HEADER + length) else {
+            // Known once: a heritage is not moved again and again while it comes.
+            self.held.reserve(HEADER + length - self.held.len());
+            return Ok(None);
+        };
+        if sum(kind, seq, payload) != told {
+            return Err(FrameError::BadSum);
+        }
+        let frame = Frame::read(kind, Bytes::copy_from_slice(payload));
+        let frame = frame.ok_or(FrameError::Malformed { kind })?;
+        self.held.advance(HEADER + length);
+        Ok(Some((seq, frame)))
+    }
+
+    /// Nothing more comes; `Torn` where that is within a frame.
+    pub fn end(&self) -> Result<(), FrameError> {
+        match self.held.is_empty() {
+            true => Ok(()),
+            false => Err(FrameError::Torn),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::call::Refusal;
+    use crate::phase::Phase;
+    use proptest::prelude::*;
+
+    fn verdicts() -> impl Strategy<Value = Verdict> {
+        prop_oneof![
+            Just(Ok(())),
+            prop::sample::select(Phase::ALL.to_vec()).prop_map(|phase| Err(Refusal::NotReady(phase))),
+            ".{0,40}".prop_map(|id| Err(Refusal::NeverListed(id))),
+            any::<usize>().prop_map(|most| Err(Refusal::TooManyOut(most))),
+            Just(Err(Refusal::Ending)),
+            Just(Err(Refusal::NotDone)),
+        ]
+    }
+
+    fn frames() -> impl Strategy<Value = Frame> {
+        let bytes = || prop::collection::vec(any::<u8>(), 0..300).prop_map(Bytes::from);
+        let whys = vec![Why::Busy, Why::OtherNode, Why::Ending, Why::OtherVersion];
+        prop_oneof![
+            (".{0,20}", ".{0,20}").prop_map(|(node, listen)| Frame::Hello { node, listen }),
+            bytes().prop_map(Frame::Welcome),
+            prop::sample::select(whys).prop_map(Frame::TurnedAway),
+            Just(Frame::TakeOver),
+            bytes().prop_map(Frame::Yours),
+            Just(Frame::GiveBack),
+            bytes().prop_map(Frame::Word),
+            any::<bool>().prop_map(Frame::Heard),
+            ".{0,40}".prop_map(Frame::Claim),
+            any::<bool>().prop_map(Frame::Claimed),
+            "[!-~]{1,40}".prop_map(|id| Frame::Call(Call::Disable(id))),
+            Just(Frame::Call(Call::Undrain)),
+            verdicts().prop_map(Frame::Done),
+            (any::<u16>(), ".{0,40}")
+                .prop_map(|(port, id)| Frame::Withdraw { to: ([10, 0, 0, 1], port).into(), id }),
+        ]
+    }
+
+    proptest! {
+        /// Frames come out as they went in, however the bytes are cut; cut short, they are `Torn` and nothing else.
+        #[test]
+        fn frames_survive_any_cut(
+            sent in prop::collection::vec((any::<u64>(), frames()), 0..6),
+            pieces in prop::collection::vec(1usize..400, 1..20),
+            short in 0usize..200,
+        ) {
+            let bytes: Vec<u8> =
+                sent.iter().flat_map(|(seq, frame)| frame.encode(*seq).expect("short")).collect();
+            let bytes = &bytes[..bytes.len().saturating_sub(short)];
+            let (mut decoder, mut came, mut rest) = (Decoder::default(), vec![], bytes);
+            for piece in pieces.iter().cycle() {
+                while let Some(frame) = decoder.take().expect("sound") {
+                    came.push(frame);
+                }
+                if rest.is_empty() {
+                    break;
+                }
+                let (now, later) = rest.split_at((*piece).min(rest.len()));
+                decoder.feed(now);
+                rest = later;
+            }
+            prop_assert_eq!(&came[..], &sent[..came.len()]);
+            prop_assert_eq!(decoder.end().is_ok(), came.iter().map(|(_, f)| HEADER + f.payload().len()).sum::<usize>()
+                == bytes.len());
+            prop_assert!(short > 0 || came.len() == sent.len());
+        }
+
+        /// Whatever comes, it is no panic, nothing is held beyond a frame's bound, and an error stays.
+        #[test]
+        fn any_bytes_are_frames_or_an_error(
+            seq in any::<u64>(), frame in frames(), at in any::<prop::sample::Index>(), to in any::<u8>(),
+        ) {
+            let mut bytes = frame.encode(seq).expect("short").to_vec();
+            let at = at.index(bytes.len());
+            let same = bytes[at] == to;
+            bytes[at] = to;
+            let mut decoder = Decoder::default();
+            decoder.feed(&bytes);
+            let said = decoder.take();
+            prop_assert_eq!(said.as_ref().is_ok_and(|frame| frame.is_some()), same, "{:?}", said);
+            prop_assert!(decoder.held.capacity() <= HEADER + LONGEST_HERITAGE + bytes.len());
+            if said.is_err() {
+                prop_assert_eq!(decoder.take(), said);
+            }
+        }
+    }
+
+    #[test]
+    fn each_bad_frame_has_its_own_error() {
+        let edited = |kind: u8, edit: &dyn Fn(&mut Vec<u8>)| {
+            let mut bytes = Frame::Heard(true).encode(7).expect("short").to_vec();
+            bytes[5] = kind;
+            let fresh = sum(kind, 7, &bytes[HEADER..]).to_be_bytes();
+            bytes[18..22].copy_from_slice(&fresh);
+            edit(&mut bytes);
+            let mut decoder = Decoder::default();
+            decoder.feed(&bytes);
+            decoder.take().expect_err("bad")
+        };
+        assert_eq!(edited(8, &|b| b[0] = b'G'), FrameError::Foreign);
+        assert_eq!(edited(8, &|b| b[4] = 9), FrameError::OtherVersion { theirs: 9, ours: VERSION });
+        assert_eq!(edited(8, &|b| b[HEADER] ^= 1), FrameError::BadSum);
+        assert_eq!(edited(8, &|b| b[14] = 1), FrameError::TooLong { length: (1 << 24) + 4 });
+        assert_eq!(edited(200, &|_| {}), FrameError::Malformed { kind: 200 });
+        assert_eq!(edited(12, &|_| {}), FrameError::Malformed { kind: 12 });
+        let long = |length: usize| Bytes::from(vec![0; length]);
+        assert!(Frame::Yours(long(LONGEST_HERITAGE)).encode(0).is_ok());
+        assert!(Frame::Yours(long(LONGEST_HERITAGE + 1)).encode(0).is_err());
+        assert!(Frame::Word(long(LONGEST_OTHER + 1)).encode(0).is_err());
+    }
+}
--- a/crates/operation/src/lib.rs
+++ b/crates/operation/src/lib.rs
@@ -6,4 +6,5 @@
 
 pub mod bans;
 pub mod call;
+pub mod frame;
 pub mod phase;
--- a/crates/operation/src/phase.rs
+++ b/crates/operation/src/phase.rs
@@ -2,8 +2,10 @@
 
 use std::fmt;
 
+use serde::{Deserialize, Serialize};
+
 /// A phase of a process. `drained` says that an operator has drained the node and not ended the drain.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
     /// It listens, or waits to, and has no transport map yet.
     Starting {
