Succession: which of two processes of a node has what, until when

Need: an upgrade runs two processes of one node beside each other, either of which may die, be told to end or lose the other at any moment; at no moment may nobody take connections.

Change: operation::succession is handed events and says deeds, in order. The elder accepts until the younger is ready, and takes back what it gave if that one is gone or gives it back. Beside it the claims of job ids, in which the elder's stands, and where a call-back goes.

Tested: up to three processes joined by links that delay and are lost, with kills and SIGTERMs in any order; one that can serve does or is about to, no id is held twice by claims, descriptors stay within one node's, phases keep to their table, a successor finds whom to ask. Where a link is lost between two that live on, neither can know, and both use all descriptors.

--- a/crates/operation/src/lib.rs
+++ b/crates/operation/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod call;
 pub mod frame;
 pub mod phase;
+pub mod succession;
