--- a/crates/operation/src/frame.rs
+++ b/crates/operation/src/frame.rs
@@ -1,8 +1,9 @@
-//! Owns the form of what two processes of one node say to each other: frames, with their version and checksum. It must
-//! never wait, and never take in more than the bounds here, whatever the other end sends.
+//! Owns the form of what two processes of one node say to each other: frames, with their version and
+//! checksum. It must never wait, and never take in more than the bounds here, whatever the other end sends.
 //!
-//! A frame is a header and a payload. The header has the magic, the version of the form, the kind, the number of the
-//! request (an answer carries that of its request), the payload's length, and a checksum of kind, number and payload.
+//! A frame is a header and a payload. The header has the magic, the version of the form, the kind, the number
+//! of the request (an answer carries that of its request), the payload's length, and a checksum of kind,
+//! number and payload.
 
 use std::net::SocketAddr;
 
@@ -90,7 +91,7 @@
     Foreign,
     /// A version of this program with another form of frames.
     #[error(
-        "the other process speaks form {theirs}, this one {ours}; the new one starts cold, nothing is to be done"
+        "the other process speaks form {theirs}, not {ours}; the new one starts cold, nothing is to be done"
     )]
     OtherVersion {
         /// The form of the other.
@@ -218,15 +219,16 @@
     sum.finalize()
 }
 
-/// Reads frames from bytes that come in pieces of any size. After an error it gives the same error again: what follows
-/// has no known beginning.
+/// Reads frames from bytes that come in pieces of any size. After an error it gives the same error again:
+/// what follows has no known beginning.
 #[derive(Debug, Default)]
 pub struct Decoder {
     held: BytesMut,
 }
 
 impl Decoder {
-    /// Takes in what has come. The caller reads all frames out before it feeds more, which bounds what is held.
+    /// Takes in what has come. The caller reads all frames out before it feeds more, which bounds what is
+    /// held.
     pub fn feed(&mut self, bytes: &[u8]) {
         self.held.extend_from_slice(bytes);
     }
@@ -313,7 +315,8 @@
     }
 
     proptest! {
-        /// Frames come out as they went in, however the bytes are cut; cut short, they are `Torn` and nothing else.
+        /// Frames come out as they went in, however the bytes are cut; cut short, they are `Torn` and nothing
+        /// else.
         #[test]
         fn frames_survive_any_cut(
             sent in prop::collection::vec((any::<u64>(), frames()), 0..6),
@@ -336,8 +339,8 @@
                 rest = later;
             }
             prop_assert_eq!(&came[..], &sent[..came.len()]);
-            prop_assert_eq!(decoder.end().is_ok(), came.iter().map(|(_, f)| HEADER + f.payload().len()).sum::<usize>()
-                == bytes.len());
+            let whole: usize = came.iter().map(|(_, frame)| HEADER + frame.payload().len()).sum();
+            prop_assert_eq!(decoder.end().is_ok(), whole == bytes.len());
             prop_assert!(short > 0 || came.len() == sent.len());
         }
 
--- a/crates/operation/src/succession.rs
+++ b/crates/operation/src/succession.rs
@@ -1,5 +1,5 @@
-//! Owns the decision which of two processes of one node has what, until when: new connections, descriptors, jobs and
-//! call-backs. It must never do any of it, and never know how the two reach each other.
+//! Owns the decision which of two processes of one node has what, until when: new connections, descriptors,
+//! jobs and call-backs. It must never do any of it, and never know how the two reach each other.
 
 use std::collections::HashMap;
 
@@ -118,7 +118,8 @@
         self.role
     }
 
-    /// What is to be done about an event. One that does not fit the role, as when two cross, asks for nothing.
+    /// What is to be done about an event. One that does not fit the role, as when two cross, asks for
+    /// nothing.
     pub fn handle(&mut self, event: Event) -> Vec<Deed> {
         match event {
             Event::Hello { node, listen } => self.hello(&node, &listen),
@@ -241,7 +242,8 @@
     Idle,
 }
 
-/// Where a call-back goes. For one that the other process has passed on, `linked` is false: it is not sent back.
+/// Where a call-back goes. For one that the other process has passed on, `linked` is false: it is not sent
+/// back.
 pub fn route(held_here: bool, linked: bool) -> Route {
     match (held_here, linked) {
         (true, _) => Route::Here,
@@ -250,9 +252,9 @@
     }
 }
 
-/// Ids of jobs that this process is about to take and claims at the other one first. An id is here from `ask` until
-/// `over`, which is when the job counts as held or is not taken after all. What is claimed by answers cannot be held
-/// twice, as long as a process's answers and claims arrive in the order in which it made them.
+/// Ids of jobs that this process is about to take and claims at the other one first. An id is here from `ask`
+/// until `over`, which is when the job counts as held or is not taken after all. What is claimed by answers
+/// cannot be held twice, as long as a process's answers and claims arrive in the order in which it made them.
 #[derive(Clone, Debug)]
 pub struct Claims {
     elder: bool,
@@ -266,7 +268,8 @@
         Claims { elder, mine: HashMap::new() }
     }
 
-    /// A job of this id came here. Whether it is to be claimed: one that is being claimed already is a second copy.
+    /// A job of this id came here. Whether it is to be claimed: one that is being claimed already is a second
+    /// copy.
     pub fn ask(&mut self, id: &str) -> bool {
         if self.mine.contains_key(id) {
             return false;
@@ -275,7 +278,7 @@
         true
     }
 
-    /// The other said yes, or cannot say anything: the id is this one's.
+    /// The other said yes, does not answer or is gone: the id is this one's.
     pub fn granted(&mut self, id: &str) {
         if let Some(granted) = self.mine.get_mut(id) {
             *granted = true;
@@ -287,7 +290,8 @@
         self.mine.remove(id);
     }
 
-    /// The other claims this id. Whether it may have it. Where both claim one id at once the elder's claim stands.
+    /// The other claims this id. Whether it may have it. Where both claim one id at once the elder's claim
+    /// stands.
     pub fn asked(&self, id: &str, held_here: bool) -> bool {
         !held_here
             && match self.mine.get(id) {
@@ -295,11 +299,6 @@
                 None => true,
             }
     }
-
-    /// The link is lost: all that was claimed is free.
-    pub fn lost(&mut self) {
-        self.mine.values_mut().for_each(|granted| *granted = true);
-    }
 }
 
 #[cfg(test)]
@@ -474,7 +473,6 @@
             self.close(at);
             self.happens(at, Event::LinkLost);
             let process = &mut self.processes[at];
-            process.claims.lost();
             let left: Vec<_> = IDS.into_iter().filter(|id| process.claims.mine.contains_key(*id)).collect();
             for id in left {
                 process.claims.over(id);
@@ -581,9 +579,9 @@
     proptest! {
         #![proptest_config(ProptestConfig::with_cases(4000))]
 
-        /// Whatever happens in whatever order, with links that delay and are lost, processes that die and that are told
-        /// to end: one that can serve does or is about to, no id is held twice by claims, both together stay within
-        /// the descriptors of one node, and phases keep to their table.
+        /// Whatever happens in whatever order, with links that delay and are lost, processes that die and
+        /// that are told to end: one that can serve does or is about to, no id is held twice by claims, both
+        /// together stay within the descriptors of one node, and phases keep to their table.
         #[test]
         fn nothing_is_lost_between_two_processes(
             steps in prop::collection::vec((0u8..16, 0..STARTS, 0..IDS.len()), 0..80),
