Handover: the Unix socket between two processes of one node, and what goes over it

Need: beside a running process a second one starts at the same addresses; the listener, what was learned, call-backs, claims and operators' calls must go over, and a process that hangs must hold up no other.

Change: node::handover has the place in $TMPDIR (socket, lock, directories with long names), the hello that gets the listener by SCM_RIGHTS, a seat that is renamed over the one before, and the link: one descriptor, a bound of time to each question, 6 MiB unwritten at most. Only a process of the same user is heard. Errors say what an operator can do. Not wired yet. Libraries: rustix for the descriptor (the crate forbids unsafe code), thiserror; tempfile in tests.

The passed listener accepts after the elder closed it; torn, foreign, older and silent ones are passed over; stale file, busy, rename over, two starts at once, a link lost while questions wait.

--- /dev/null
+++ b/crates/node/src/handover.rs
@@ -0,0 +1,1193 @@
+//! Owns the link between two processes of one node: the known place where they meet, the client listener that
+//! goes over it, and the requests on it with their bounds of time. It must never decide who owns what, which
+//! is `operation::succession`, and never hold up the node: a process that does not answer or read is as good
+//! as gone.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::fs::{self, File, TryLockError};
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{AsFd, AsRawFd, OwnedFd};
+use std::os::unix::fs::{MetadataExt, PermissionsExt};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes};
+use curlewusher_operation::call::{Call, Verdict};
+use curlewusher_operation::frame::{Decoder, Frame, FrameError, LONGEST_HERITAGE, Why};
+use curlewusher_operation::succession::Claims;
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags, Shutdown, recvmsg, sendmsg, shutdown, sockopt::socket_acceptconn,
+};
+use thiserror::Error;
+use tokio::io::Interest;
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{sleep, timeout};
+use tracing::{debug, warn};
+
+use crate::logs::NODE;
+
+/// An elder answers a hello within this, or the newer process starts without it.
+const ANSWER_TIME: Duration = Duration::from_millis(1500);
+/// A successor says its hello, and hears that it is turned away, within this.
+const HELLO_TIME: Duration = Duration::from_millis(1000);
+/// A start waits so long for another one that is under way; that one has `ANSWER_TIME` for its elder.
+const TURN_TIME: Duration = Duration::from_millis(2000);
+const TURN_AGAIN: Duration = Duration::from_millis(10);
+/// A client or a next hop waits behind these.
+const WORD_TIME: Duration = Duration::from_millis(300);
+const CLAIM_TIME: Duration = Duration::from_millis(300);
+/// An operator waits behind this for up to 1 s.
+const CALL_TIME: Duration = Duration::from_millis(700);
+const TAKE_OVER_TIME: Duration = Duration::from_millis(1000);
+/// A process that reads nothing for so long is as good as gone.
+const STALLED: Duration = Duration::from_millis(2000);
+/// So much waits to be written at most, in bytes: one heritage, and some.
+const MOST_UNWRITTEN: usize = 6 << 20;
+/// So many requests of the other process wait here at most; it goes without an answer to more.
+const MOST_ASKED: usize = 1024;
+/// So many connections that have not said their hello yet.
+const MOST_STRANGERS: usize = 4;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// The longest name that a Unix socket can have, in bytes, without its end.
+const LONGEST_SUN_PATH: usize = 107;
+/// The byte that carries the listener.
+const LEAD: u8 = b'+';
+const PIECE: usize = 8 << 10;
+
+/// Why two processes do not come together. Each says what an operator can do; in all of them the newer one
+/// can bind for itself and start cold.
+#[derive(Debug, Error)]
+pub enum HandoverError {
+    /// No file can be made there.
+    #[error("{path}: {source}; let the node write to $TMPDIR, or its upgrades start cold")]
+    Unwritable {
+        /// What was to be made or used.
+        path: PathBuf,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// There is no room for a file.
+    #[error("{path}: {source}; make room where $TMPDIR is, or the node's upgrades start cold")]
+    Full {
+        /// What was to be made.
+        path: PathBuf,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// Anything else about a file in `$TMPDIR`.
+    #[error("{path}: {source}; look at what is there in $TMPDIR, or the node's upgrades start cold")]
+    Place {
+        /// What was to be made or used.
+        path: PathBuf,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// A process of another user is there.
+    #[error("{path} is of user {uid}; run both processes as one user, or give the node a $TMPDIR of its own")]
+    OtherUser {
+        /// Where it waits.
+        path: PathBuf,
+        /// The user's number.
+        uid: u32,
+    },
+    /// What was said cannot be read.
+    #[error(transparent)]
+    Speech(#[from] FrameError),
+    /// It said what does not belong there.
+    #[error(
+        "the other process said something out of turn; the new one starts cold, report it if it comes again"
+    )]
+    OutOfTurn,
+    /// What came over is not the listener.
+    #[error(
+        "the other process does not listen on {listen}; the new one binds it itself, nothing is to be done"
+    )]
+    NoListener {
+        /// Where clients reach this process.
+        listen: SocketAddr,
+    },
+    /// It does not answer in time.
+    #[error("the older process does not answer; the new one starts cold, end the older one if it goes on")]
+    Silent,
+    /// It ended meanwhile.
+    #[error("the other process ended meanwhile ({0}); nothing is to be done")]
+    Gone(#[source] io::Error),
+    /// It answered, and said no.
+    #[error(transparent)]
+    TurnedAway(Why),
+    /// Another start holds the lock for too long.
+    #[error("{path} is held by another start of this node; end that one if it hangs")]
+    Held {
+        /// The lock.
+        path: PathBuf,
+    },
+}
+
+impl HandoverError {
+    /// Whether asking again later may do.
+    pub fn is_busy(&self) -> bool {
+        matches!(self, HandoverError::TurnedAway(Why::Busy))
+    }
+
+    fn at(path: &Path, source: io::Error) -> HandoverError {
+        let path = path.to_owned();
+        match source.kind() {
+            ErrorKind::PermissionDenied | ErrorKind::ReadOnlyFilesystem => {
+                HandoverError::Unwritable { path, source }
+            }
+            ErrorKind::StorageFull | ErrorKind::QuotaExceeded => HandoverError::Full { path, source },
+            _ => HandoverError::Place { path, source },
+        }
+    }
+
+    fn gone() -> HandoverError {
+        HandoverError::Gone(ErrorKind::UnexpectedEof.into())
+    }
+}
+
+/// Where the processes of one node meet: a socket in `$TMPDIR`, and a lock beside it.
+#[derive(Clone, Debug)]
+pub struct Place {
+    dir: PathBuf,
+    name: String,
+}
+
+/// A start's turn: another start waits until it is dropped. It is held from the hello until a process sits.
+pub struct Turn {
+    _lock: File,
+}
+
+impl Place {
+    /// The place of the node that clients reach at `listen`.
+    pub fn new(tmpdir: &Path, listen: SocketAddr) -> Place {
+        let name = format!("curlewusher-{}-{}.sock", listen.ip(), listen.port());
+        Place { dir: tmpdir.to_owned(), name }
+    }
+
+    /// The socket's path.
+    pub fn path(&self) -> PathBuf {
+        self.dir.join(&self.name)
+    }
+
+    /// Waits for its turn, for up to 2 s. The lock's file stays where it is: were it removed, two starts
+    /// could each hold a lock of that name.
+    pub async fn turn(&self) -> Result<Turn, HandoverError> {
+        let path = self.dir.join(format!("{}.lock", self.name));
+        let lock = File::options().create(true).append(true).open(&path);
+        let lock = lock.map_err(|e| HandoverError::at(&path, e))?;
+        let held = async {
+            loop {
+                match lock.try_lock() {
+                    Ok(()) => return Ok(()),
+                    Err(TryLockError::WouldBlock) => sleep(TURN_AGAIN).await,
+                    Err(TryLockError::Error(e)) => return Err(HandoverError::at(&path, e)),
+                }
+            }
+        };
+        let turn = timeout(TURN_TIME, held).await;
+        turn.unwrap_or_else(|_| Err(HandoverError::Held { path: path.clone() }))?;
+        Ok(Turn { _lock: lock })
+    }
+
+    /// A path of that name which fits a socket's address, and what must stay open while it is used.
+    fn reach(&self, name: &str) -> io::Result<(PathBuf, Option<File>)> {
+        let path = self.dir.join(name);
+        if path.as_os_str().len() <= LONGEST_SUN_PATH {
+            return Ok((path, None));
+        }
+        let dir = File::open(&self.dir)?;
+        Ok((PathBuf::from(format!("/proc/self/fd/{}", dir.as_raw_fd())).join(name), Some(dir)))
+    }
+
+    /// Only a process of the same user is one of this node.
+    fn same_user(&self, stream: &UnixStream) -> Result<(), HandoverError> {
+        let uid = stream.peer_cred().map_err(HandoverError::Gone)?.uid();
+        match uid == rustix::process::geteuid().as_raw() {
+            true => Ok(()),
+            false => Err(HandoverError::OtherUser { path: self.path(), uid }),
+        }
+    }
+}
+
+/// The older process, which has welcomed this one.
+pub struct Elder {
+    /// Its listener for clients, which both processes hold from here on.
+    pub listener: TcpListener,
+    /// What it has learned so far; empty where it has nothing to give.
+    pub heritage: Bytes,
+    /// The link to it.
+    pub link: Link,
+    /// What it asks.
+    pub asked: mpsc::Receiver<Asked>,
+}
+
+/// Says hello to the process at that place; none where nobody is there. Takes 1.5 s at most.
+pub async fn call_on(place: &Place, node: &str, listen: SocketAddr) -> Result<Option<Elder>, HandoverError> {
+    let called = timeout(ANSWER_TIME, call(place, node, listen)).await;
+    called.unwrap_or(Err(HandoverError::Silent))
+}
+
+async fn call(place: &Place, node: &str, listen: SocketAddr) -> Result<Option<Elder>, HandoverError> {
+    let Some(stream) = connect(place).await? else { return Ok(None) };
+    place.same_user(&stream)?;
+    let hello = Frame::Hello { node: node.to_owned(), listen: listen.to_string() };
+    write_all(&stream, hello.encode(0)?).await.map_err(HandoverError::Gone)?;
+    let (lead, fd) = receive_lead(&stream).await.map_err(HandoverError::Gone)?;
+    let mut decoder = Decoder::default();
+    if lead != LEAD {
+        decoder.feed(&[lead]);
+    }
+    match (read_frame(&stream, &mut decoder).await?, fd) {
+        (Frame::TurnedAway(why), _) => Err(HandoverError::TurnedAway(why)),
+        (Frame::Welcome(heritage), Some(fd)) => {
+            let listener = listener_of(fd, listen).ok_or(HandoverError::NoListener { listen })?;
+            let (link, asked) = Link::start(stream, false, decoder);
+            Ok(Some(Elder { listener, heritage, link, asked }))
+        }
+        (Frame::Welcome(_), None) => Err(HandoverError::NoListener { listen }),
+        _ => Err(HandoverError::OutOfTurn),
+    }
+}
+
+/// A connection to whoever sits there; none where there is no file, or one that was left by a process that is
+/// no more.
+async fn connect(place: &Place) -> Result<Option<UnixStream>, HandoverError> {
+    let at = |e| HandoverError::at(&place.path(), e);
+    let reached = match place.reach(&place.name) {
+        Err(e) if e.kind() == ErrorKind::NotFound => return Ok(None),
+        reached => reached.map_err(at)?,
+    };
+    match UnixStream::connect(&reached.0).await {
+        Ok(stream) => Ok(Some(stream)),
+        Err(e) if matches!(e.kind(), ErrorKind::NotFound | ErrorKind::ConnectionRefused) => Ok(None),
+        // Its queue is full, and it does not look.
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Err(HandoverError::Silent),
+        Err(e) => Err(at(e)),
+    }
+}
+
+/// The listener that came over, if it is one, and for clients of this node.
+fn listener_of(fd: OwnedFd, listen: SocketAddr) -> Option<TcpListener> {
+    let listens = socket_acceptconn(&fd).unwrap_or(false);
+    let listener = TcpListener::from(fd);
+    let at = listener.local_addr().ok().filter(|_| listens)?;
+    listener.set_nonblocking(true).ok()?;
+    // Port 0 stands for any.
+    (at.ip() == listen.ip() && (listen.port() == 0 || at.port() == listen.port())).then_some(listener)
+}
+
+/// The byte before the answer to a hello, and the descriptor that it carries.
+async fn receive_lead(stream: &UnixStream) -> io::Result<(u8, Option<OwnedFd>)> {
+    let receive = || {
+        let mut byte = [0];
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut control = RecvAncillaryBuffer::new(&mut space);
+        let mut room = [IoSliceMut::new(&mut byte)];
+        let came = recvmsg(stream, &mut room, &mut control, RecvFlags::CMSG_CLOEXEC)?;
+        let fd = control.drain().find_map(|message| match message {
+            RecvAncillaryMessage::ScmRights(mut fds) => fds.next(),
+            _ => None,
+        });
+        if came.bytes == 0 { Err(ErrorKind::UnexpectedEof.into()) } else { Ok((byte[0], fd)) }
+    };
+    stream.async_io(Interest::READABLE, receive).await
+}
+
+/// Sends a descriptor on the lead byte.
+async fn send_lead(stream: &UnixStream, listener: impl AsFd) -> io::Result<()> {
+    let fds = [listener.as_fd()];
+    let send = || {
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        if !control.push(SendAncillaryMessage::ScmRights(&fds)) {
+            return Err(ErrorKind::InvalidInput.into());
+        }
+        Ok(sendmsg(stream, &[IoSlice::new(&[LEAD])], &mut control, SendFlags::NOSIGNAL)?)
+    };
+    stream.async_io(Interest::WRITABLE, send).await.map(drop)
+}
+
+async fn write_all(stream: &UnixStream, mut bytes: Bytes) -> io::Result<()> {
+    while bytes.has_remaining() {
+        timeout(STALLED, stream.writable()).await??;
+        match stream.try_write(&bytes) {
+            Ok(written) => bytes.advance(written),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+/// Feeds the next piece that comes, and says whether there was one.
+async fn read_piece(stream: &UnixStream, decoder: &mut Decoder) -> io::Result<bool> {
+    loop {
+        stream.readable().await?;
+        let mut room = [0; PIECE];
+        match stream.try_read(&mut room) {
+            Ok(came) => {
+                decoder.feed(&room[..came]);
+                return Ok(came > 0);
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+/// The first frame that comes.
+async fn read_frame(stream: &UnixStream, decoder: &mut Decoder) -> Result<Frame, HandoverError> {
+    loop {
+        if let Some((_, frame)) = decoder.take()? {
+            return Ok(frame);
+        }
+        if !read_piece(stream, decoder).await.map_err(HandoverError::Gone)? {
+            decoder.end()?;
+            return Err(HandoverError::gone());
+        }
+    }
+}
+
+/// A seat at the known place, where a successor finds this process.
+pub struct Seat {
+    path: PathBuf,
+    /// Device and number of the socket's file.
+    file: (u64, u64),
+    accepts: JoinHandle<()>,
+}
+
+impl Seat {
+    /// Sits down, whoever sat there before; hellos go to `hellos`, and one is turned away where that has no
+    /// room.
+    pub fn sit(place: &Place, hellos: mpsc::Sender<Hello>) -> Result<Seat, HandoverError> {
+        let path = place.path();
+        let at = |e| HandoverError::at(&path, e);
+        // Under another name first: a rename leaves no moment at which nobody sits there.
+        let name = format!("{}.{}", place.name, std::process::id());
+        let new = place.dir.join(&name);
+        match fs::remove_file(&new) {
+            Err(e) if e.kind() != ErrorKind::NotFound => return Err(at(e)),
+            _ => {}
+        }
+        let reached = place.reach(&name).map_err(at)?;
+        let listener = UnixListener::bind(&reached.0).map_err(at)?;
+        let seated = fs::set_permissions(&new, fs::Permissions::from_mode(0o600))
+            .and_then(|()| file_of(&new))
+            .and_then(|file| fs::rename(&new, &path).map(|()| file));
+        let file = seated.map_err(|e| {
+            let _ = fs::remove_file(&new);
+            at(e)
+        })?;
+        let accepts = spawn_local(accept(listener, place.clone(), hellos));
+        Ok(Seat { path, file, accepts })
+    }
+
+    /// Leaves. The file goes as well, unless another process has sat down since.
+    pub fn up(self) {
+        if file_of(&self.path).is_ok_and(|file| file == self.file) {
+            let _ = fs::remove_file(&self.path);
+        }
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.accepts.abort();
+    }
+}
+
+fn file_of(path: &Path) -> io::Result<(u64, u64)> {
+    fs::symlink_metadata(path).map(|meta| (meta.dev(), meta.ino()))
+}
+
+async fn accept(listener: UnixListener, place: Place, hellos: mpsc::Sender<Hello>) {
+    let strangers = std::sync::Arc::new(Semaphore::new(MOST_STRANGERS));
+    while let Ok(room) = strangers.clone().acquire_owned().await {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                debug!(target: NODE, "a successor could not be heard: {e}");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let (place, hellos) = (place.clone(), hellos.clone());
+        spawn_local(async move {
+            let _room = room;
+            let heard = timeout(HELLO_TIME, Hello::hear(stream, &place)).await;
+            match heard.unwrap_or(Err(HandoverError::Silent)) {
+                Ok(hello) => hello.hand_in(&hellos).await,
+                Err(problem) => warn!(target: NODE, "a successor is passed over: {problem}"),
+            }
+        });
+    }
+}
+
+/// A process that wants to be the successor. Dropped, it is left without an answer.
+pub struct Hello {
+    /// Name of its node.
+    pub node: String,
+    /// Where clients reach its node.
+    pub listen: String,
+    stream: UnixStream,
+    decoder: Decoder,
+}
+
+impl Hello {
+    async fn hear(stream: UnixStream, place: &Place) -> Result<Hello, HandoverError> {
+        place.same_user(&stream)?;
+        let mut decoder = Decoder::default();
+        match read_frame(&stream, &mut decoder).await {
+            Ok(Frame::Hello { node, listen }) => Ok(Hello { node, listen, stream, decoder }),
+            Ok(_) => Err(HandoverError::OutOfTurn),
+            Err(problem) => {
+                if let HandoverError::Speech(FrameError::OtherVersion { .. }) = problem {
+                    say_no(&stream, Why::OtherVersion).await;
+                }
+                Err(problem)
+            }
+        }
+    }
+
+    async fn hand_in(self, hellos: &mpsc::Sender<Hello>) {
+        if let Err(unheard) = hellos.try_send(self) {
+            let (mpsc::error::TrySendError::Full(hello) | mpsc::error::TrySendError::Closed(hello)) = unheard;
+            hello.turn_away(Why::Busy).await;
+        }
+    }
+
+    /// Welcomes it: it gets the listener, and what was learned so far. On an error it counts as gone.
+    pub async fn welcome(
+        self,
+        listener: impl AsFd,
+        heritage: Bytes,
+    ) -> Result<(Link, mpsc::Receiver<Asked>), HandoverError> {
+        let sent = timeout(HELLO_TIME, send_lead(&self.stream, listener)).await;
+        sent.map_err(|_| HandoverError::Silent)?.map_err(HandoverError::Gone)?;
+        let (link, asked) = Link::start(self.stream, true, self.decoder);
+        link.answer(0, Frame::Welcome(bounded(heritage)));
+        Ok((link, asked))
+    }
+
+    /// Tells it that it is not the successor, and why.
+    pub async fn turn_away(self, why: Why) {
+        say_no(&self.stream, why).await;
+    }
+}
+
+/// It may not be heard, which then comes to the same.
+async fn say_no(stream: &UnixStream, why: Why) {
+    if let Ok(frame) = Frame::TurnedAway(why).encode(0) {
+        let _ = timeout(HELLO_TIME, write_all(stream, frame)).await;
+    }
+}
+
+/// What was learned, or where that is over the bound nothing: the newer process then starts cold.
+fn bounded(heritage: Bytes) -> Bytes {
+    let length = heritage.len();
+    if length <= LONGEST_HERITAGE {
+        return heritage;
+    }
+    warn!(target: NODE, "what was learned does not go over: {}", FrameError::TooLong { length });
+    Bytes::new()
+}
+
+/// What became of a call-back that was passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// The other process holds its job and has heard it.
+    Owned,
+    /// The other process does not hold its job.
+    NotOwned,
+    /// The other process did not answer.
+    Unheard,
+}
+
+/// What the other process asks or tells. Whoever does not answer a question leaves it to the other's bound of
+/// time.
+pub enum Asked {
+    /// A call-back for a job that it does not hold: whether it is held here, said once it has been heard.
+    Word {
+        /// As it came from the next hop.
+        body: Bytes,
+        /// Whether it was owned.
+        heard: oneshot::Sender<bool>,
+    },
+    /// It is about to take a job: whether that id is *not held* here. What is being claimed is known to the
+    /// link.
+    Claim {
+        /// The job's id.
+        id: String,
+        /// Whether it may.
+        free: oneshot::Sender<bool>,
+    },
+    /// An operator's call.
+    Call {
+        /// The call.
+        call: Call,
+        /// What is said to it.
+        verdict: oneshot::Sender<Verdict>,
+    },
+    /// A withdrawal that is this process's from now on.
+    Withdraw {
+        /// The next hop that has not heard it.
+        to: SocketAddr,
+        /// The job's id.
+        id: String,
+    },
+    /// The younger one is ready: what was learned, said once this process accepts no more.
+    TakeOver {
+        /// What was learned since the welcome.
+        heritage: oneshot::Sender<Bytes>,
+    },
+    /// The younger one is ending: this process is to take the node back.
+    GiveBack,
+    /// The link is lost; nothing comes after this.
+    Lost,
+}
+
+/// What waits to be written.
+#[derive(Default)]
+struct Unwritten {
+    frames: VecDeque<Bytes>,
+    bytes: usize,
+}
+
+struct Waiting {
+    answer: oneshot::Sender<Frame>,
+    /// The id that is claimed by it.
+    claim: Option<Rc<str>>,
+}
+
+struct Ends {
+    stream: UnixStream,
+    up: watch::Sender<bool>,
+    unwritten: RefCell<Unwritten>,
+    /// There is more to write, or the link is lost.
+    more: Notify,
+    /// All is written, or the link is lost.
+    written: Notify,
+    next: Cell<u64>,
+    waiting: RefCell<HashMap<u64, Waiting>>,
+    claims: RefCell<Claims>,
+}
+
+/// The link to the other process. It uses one descriptor, until it is lost and the last clone is dropped.
+#[derive(Clone)]
+pub struct Link(Rc<Ends>);
+
+impl Link {
+    fn start(stream: UnixStream, elder: bool, decoder: Decoder) -> (Link, mpsc::Receiver<Asked>) {
+        let (asked, from) = mpsc::channel(MOST_ASKED + 1);
+        // A place of its own, so that nothing can keep it from being heard.
+        let last = asked.clone().try_reserve_owned().ok();
+        let link = Link(Rc::new(Ends {
+            stream,
+            up: watch::Sender::new(true),
+            unwritten: RefCell::default(),
+            more: Notify::new(),
+            written: Notify::new(),
+            next: Cell::new(1),
+            waiting: RefCell::default(),
+            claims: RefCell::new(Claims::new(elder)),
+        }));
+        spawn_local(link.clone().write());
+        let reader = link.clone();
+        spawn_local(async move {
+            if let Err(problem) = reader.read(decoder, &asked).await {
+                warn!(target: NODE, "the link to the other process is lost: {problem}");
+            }
+            reader.close();
+            if let Some(last) = last {
+                last.send(Asked::Lost);
+            }
+        });
+        (link, from)
+    }
+
+    /// Whether the other process can be heard, as far as is known.
+    pub fn up(&self) -> bool {
+        *self.0.up.borrow()
+    }
+
+    /// Returns once the link is lost.
+    pub async fn lost(&self) {
+        // The sender is in the link itself.
+        let _ = self.0.up.subscribe().wait_for(|up| !up).await;
+    }
+
+    /// Gives the link up: both ends lose it, and whatever waits for an answer goes without.
+    pub fn close(&self) {
+        if !self.0.up.send_replace(false) {
+            return;
+        }
+        self.0.waiting.borrow_mut().clear();
+        *self.0.unwritten.borrow_mut() = Unwritten::default();
+        // One that the other end has closed already cannot be shut.
+        let _ = shutdown(&self.0.stream, Shutdown::Both);
+        self.0.more.notify_one();
+        self.0.written.notify_waiters();
+    }
+
+    /// Returns once all that was said so far is written, or the link is lost.
+    pub async fn written(&self) {
+        while self.up() && self.0.unwritten.borrow().bytes > 0 {
+            self.0.written.notified().await;
+        }
+    }
+
+    /// Passes a call-back's body on. Takes 300 ms at most.
+    pub async fn word(&self, body: Bytes) -> Heard {
+        match self.request(Frame::Word(body), None, WORD_TIME).await {
+            Some(Frame::Heard(true)) => Heard::Owned,
+            Some(Frame::Heard(false)) => Heard::NotOwned,
+            _ => Heard::Unheard,
+        }
+    }
+
+    /// Claims the id of a job that is about to be taken; none where the other process holds it, or another
+    /// copy of the job is being claimed here. Free as well where the other does not answer within 300 ms, or
+    /// is gone. What is returned is dropped once the job is in the queue of whoever answers `Asked::Claim`,
+    /// and no sooner.
+    pub async fn claim(&self, id: &str) -> Option<Claim> {
+        if !self.0.claims.borrow_mut().ask(id) {
+            return None;
+        }
+        let claim = Claim { link: self.clone(), id: id.into() };
+        let asked = Frame::Claim(id.to_owned());
+        let answer = self.request(asked, Some(claim.id.clone()), CLAIM_TIME).await;
+        if matches!(answer, Some(Frame::Claimed(false))) {
+            return None;
+        }
+        self.0.claims.borrow_mut().granted(id);
+        Some(claim)
+    }
+
+    /// Has an operator's call done at the other process too; none where that does not say within 700 ms.
+    pub async fn call(&self, call: &Call) -> Option<Verdict> {
+        match self.request(Frame::Call(call.clone()), None, CALL_TIME).await {
+            Some(Frame::Done(verdict)) => Some(verdict),
+            _ => None,
+        }
+    }
+
+    /// Leaves a withdrawal to the other process.
+    pub fn withdraw(&self, to: SocketAddr, id: &str) {
+        self.tell(&Frame::Withdraw { to, id: id.to_owned() });
+    }
+
+    /// Asks the elder for the new connections and what it has learned since. Where it does not say within 1 s
+    /// the link is given up: it may have handed over, and takes back when it sees that.
+    pub async fn take_over(&self) -> Option<Bytes> {
+        match self.request(Frame::TakeOver, None, TAKE_OVER_TIME).await {
+            Some(Frame::Yours(heritage)) => Some(heritage),
+            _ => {
+                self.close();
+                None
+            }
+        }
+    }
+
+    /// Tells the elder to take the node back.
+    pub fn give_back(&self) {
+        self.tell(&Frame::GiveBack);
+    }
+
+    fn seq(&self) -> u64 {
+        self.0.next.replace(self.0.next.get() + 1)
+    }
+
+    async fn request(&self, frame: Frame, claim: Option<Rc<str>>, within: Duration) -> Option<Frame> {
+        let seq = self.seq();
+        let bytes = frame.encode(seq).ok().filter(|_| self.up())?;
+        let (answer, from) = oneshot::channel();
+        self.0.waiting.borrow_mut().insert(seq, Waiting { answer, claim });
+        let _forget = Forget { ends: &self.0, seq };
+        self.push(bytes);
+        timeout(within, from).await.ok()?.ok()
+    }
+
+    fn tell(&self, frame: &Frame) {
+        self.answer(self.seq(), frame.clone());
+    }
+
+    fn answer(&self, seq: u64, frame: Frame) {
+        match frame.encode(seq) {
+            Ok(bytes) => self.push(bytes),
+            Err(problem) => warn!(target: NODE, "the other process is not told: {problem}"),
+        }
+    }
+
+    /// A process that reads too little is as good as gone.
+    fn push(&self, bytes: Bytes) {
+        if !self.up() {
+            return;
+        }
+        let mut unwritten = self.0.unwritten.borrow_mut();
+        unwritten.bytes += bytes.len();
+        unwritten.frames.push_back(bytes);
+        let full = unwritten.bytes > MOST_UNWRITTEN;
+        drop(unwritten);
+        if full {
+            warn!(target: NODE, "the other process reads nothing; the link is given up");
+            return self.close();
+        }
+        self.0.more.notify_one();
+    }
+
+    async fn write(self) {
+        while self.up() {
+            let next = self.0.unwritten.borrow().frames.front().cloned();
+            let Some(frame) = next else {
+                self.0.written.notify_waiters();
+                self.0.more.notified().await;
+                continue;
+            };
+            let length = frame.len();
+            if write_all(&self.0.stream, frame).await.is_err() {
+                return self.close();
+            }
+            let mut unwritten = self.0.unwritten.borrow_mut();
+            // Nothing is left of it where the link was lost meanwhile.
+            if unwritten.frames.pop_front().is_some() {
+                unwritten.bytes -= length;
+            }
+        }
+    }
+
+    async fn read(&self, mut decoder: Decoder, asked: &mpsc::Sender<Asked>) -> Result<(), HandoverError> {
+        loop {
+            while let Some((seq, frame)) = decoder.take()? {
+                self.hear(seq, frame, asked)?;
+            }
+            match read_piece(&self.0.stream, &mut decoder).await {
+                Ok(true) => {}
+                Ok(false) => return Ok(decoder.end()?),
+                // It ended before it had read all.
+                Err(e) if e.kind() == ErrorKind::ConnectionReset => return Ok(()),
+                Err(e) => return Err(HandoverError::Gone(e)),
+            }
+        }
+    }
+
+    fn hear(&self, seq: u64, frame: Frame, asked: &mpsc::Sender<Asked>) -> Result<(), HandoverError> {
+        match frame {
+            Frame::Yours(_) | Frame::Heard(_) | Frame::Claimed(_) | Frame::Done(_) => {
+                self.answered(seq, frame)
+            }
+            Frame::Word(body) => {
+                self.ask(seq, asked, |heard| Asked::Word { body, heard }, |_, said| Frame::Heard(said))
+            }
+            Frame::Claim(id) => self.claimed(seq, id, asked),
+            Frame::Call(call) => {
+                self.ask(seq, asked, |verdict| Asked::Call { call, verdict }, |_, said| Frame::Done(said));
+            }
+            Frame::TakeOver => self.ask(
+                seq,
+                asked,
+                |heritage| Asked::TakeOver { heritage },
+                |_, said| Frame::Yours(bounded(said)),
+            ),
+            Frame::Withdraw { to, id } => self.pass(asked, Asked::Withdraw { to, id }),
+            Frame::GiveBack => self.pass(asked, Asked::GiveBack),
+            Frame::Hello { .. } | Frame::Welcome(_) | Frame::TurnedAway(_) => {
+                return Err(HandoverError::OutOfTurn);
+            }
+        }
+        Ok(())
+    }
+
+    /// A grant counts from here on, not from when its waiter next runs: the next frame may claim the same id.
+    fn answered(&self, seq: u64, frame: Frame) {
+        let Some(waiting) = self.0.waiting.borrow_mut().remove(&seq) else { return };
+        if let (Some(id), Frame::Claimed(true)) = (&waiting.claim, &frame) {
+            self.0.claims.borrow_mut().granted(id);
+        }
+        let _ = waiting.answer.send(frame);
+    }
+
+    fn claimed(&self, seq: u64, id: String, asked: &mpsc::Sender<Asked>) {
+        if !self.0.claims.borrow().asked(&id, false) {
+            return self.answer(seq, Frame::Claimed(false));
+        }
+        let name = id.clone();
+        // Looked at again with the answer: this process may have claimed it meanwhile.
+        let claimed =
+            move |link: &Link, free: bool| Frame::Claimed(link.0.claims.borrow().asked(&name, !free));
+        self.ask(seq, asked, |free| Asked::Claim { id, free }, claimed);
+    }
+
+    fn ask<T: 'static>(
+        &self,
+        seq: u64,
+        asked: &mpsc::Sender<Asked>,
+        question: impl FnOnce(oneshot::Sender<T>) -> Asked,
+        answer: impl FnOnce(&Link, T) -> Frame + 'static,
+    ) {
+        let (to, from) = oneshot::channel();
+        self.pass(asked, question(to));
+        let link = self.clone();
+        spawn_local(async move {
+            if let Ok(said) = from.await {
+                link.answer(seq, answer(&link, said));
+            }
+        });
+    }
+
+    fn pass(&self, asked: &mpsc::Sender<Asked>, what: Asked) {
+        if asked.try_send(what).is_err() {
+            debug!(target: NODE, "too much is asked by the other process; some goes without an answer");
+        }
+    }
+}
+
+/// A claimed id. While it is there the other process gets a no for that id.
+pub struct Claim {
+    link: Link,
+    id: Rc<str>,
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.link.0.claims.borrow_mut().over(&self.id);
+    }
+}
+
+/// Nobody waits for that answer any more.
+struct Forget<'a> {
+    ends: &'a Ends,
+    seq: u64,
+}
+
+impl Drop for Forget<'_> {
+    fn drop(&mut self) {
+        self.ends.waiting.borrow_mut().remove(&self.seq);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use curlewusher_operation::call::Refusal;
+    use tempfile::TempDir;
+    use tokio::task::{LocalSet, yield_now};
+
+    /// No test takes as many turns of its thread.
+    const MOST_TURNS: usize = 3_000_000;
+
+    /// How time passes: not at all, or at once to the next bound when nothing else can happen.
+    #[derive(PartialEq)]
+    enum Time {
+        Stands,
+        Goes,
+    }
+
+    /// On one thread, as the node is.
+    fn run<T>(time: Time, all: impl Future<Output = T>) -> T {
+        let mut runtime = tokio::runtime::Builder::new_current_thread();
+        let runtime = runtime.enable_all().start_paused(true).build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let over = async {
+                if time == Time::Goes {
+                    return sleep(Duration::from_secs(3600)).await;
+                }
+                // A paused clock goes on only where there is nothing to do.
+                for _ in 0..MOST_TURNS {
+                    yield_now().await;
+                }
+            };
+            tokio::select! {
+                said = all => said,
+                () = over => panic!("what it waits for does not come"),
+            }
+        })
+    }
+
+    fn place() -> (TempDir, TcpListener, SocketAddr, Place) {
+        let dir = TempDir::new().expect("a directory");
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let at = listener.local_addr().expect("bound");
+        let place = Place::new(dir.path(), at);
+        (dir, listener, at, place)
+    }
+
+    fn seat(place: &Place) -> (Seat, mpsc::Receiver<Hello>) {
+        let (hellos, heard) = mpsc::channel(1);
+        (Seat::sit(place, hellos).expect("a seat"), heard)
+    }
+
+    type End = (Link, mpsc::Receiver<Asked>);
+
+    /// Both ends of a link, the elder's first.
+    fn pair() -> (End, End) {
+        let (one, other) = UnixStream::pair().expect("a pair");
+        (Link::start(one, true, Decoder::default()), Link::start(other, false, Decoder::default()))
+    }
+
+    /// What comes of a hello that is heard at `heard` and answered with a welcome.
+    async fn welcomed(
+        heard: &mut mpsc::Receiver<Hello>,
+        listener: &TcpListener,
+        heritage: Bytes,
+        place: &Place,
+    ) -> (End, Elder) {
+        let at = listener.local_addr().expect("bound");
+        let welcome = async {
+            let hello = heard.recv().await.expect("a hello");
+            assert_eq!((&*hello.node, &*hello.listen), ("n", &*at.to_string()));
+            hello.welcome(listener, heritage).await.expect("a link")
+        };
+        let (end, elder) = tokio::join!(welcome, call_on(place, "n", at));
+        (end, elder.expect("an answer").expect("an elder"))
+    }
+
+    #[test]
+    fn the_listener_goes_over_and_accepts_once_the_elder_has_closed_it() {
+        run(Time::Stands, async {
+            let (_dir, listener, at, place) = place();
+            let (_seat, mut heard) = seat(&place);
+            let learned = Bytes::from(vec![7; LONGEST_HERITAGE]);
+            let ((_link, mut asked), elder) = welcomed(&mut heard, &listener, learned.clone(), &place).await;
+            assert_eq!(elder.heritage, learned);
+            let waits = std::net::TcpStream::connect(at).expect("in the queue");
+            drop(listener);
+            let hand_over = async {
+                let Some(Asked::TakeOver { heritage }) = asked.recv().await else { panic!("no take-over") };
+                // More than goes over: the newer one starts cold then.
+                heritage.send(vec![0; LONGEST_HERITAGE + 1].into()).expect("it waits");
+            };
+            let (yours, ()) = tokio::join!(elder.link.take_over(), hand_over);
+            assert_eq!(yours, Some(Bytes::new()));
+            let listener = tokio::net::TcpListener::from_std(elder.listener).expect("a listener");
+            let (_, from) = listener.accept().await.expect("a client");
+            assert_eq!(from, waits.local_addr().expect("connected"));
+        });
+    }
+
+    #[test]
+    fn each_question_gets_its_own_answer() {
+        run(Time::Stands, async {
+            let ((elder, mut asked), (younger, mut told)) = pair();
+            let answers = async {
+                while let Some(what) = asked.recv().await {
+                    match what {
+                        Asked::Word { body, heard } => _ = heard.send(body == "mine"),
+                        Asked::Claim { id, free } => _ = free.send(id != "held"),
+                        Asked::Call { call, verdict } => {
+                            assert_eq!(call, Call::Drain);
+                            _ = verdict.send(Err(Refusal::Ending));
+                        }
+                        Asked::GiveBack => return true,
+                        _ => return false,
+                    }
+                }
+                false
+            };
+            let questions = async {
+                let words = tokio::join!(younger.word("mine".into()), younger.word("not".into()));
+                assert_eq!(words, (Heard::Owned, Heard::NotOwned));
+                assert_eq!(younger.call(&Call::Drain).await, Some(Err(Refusal::Ending)));
+                assert!(younger.claim("held").await.is_none());
+                let claim = younger.claim("new").await.expect("free");
+                assert!(younger.claim("new").await.is_none(), "a second copy");
+                assert!(elder.claim("new").await.is_none(), "claimed there, and not held there yet");
+                drop(claim);
+                younger.give_back();
+            };
+            assert!(tokio::join!(questions, answers).1);
+            elder.withdraw(([10, 0, 0, 1], 80).into(), "w");
+            elder.written().await;
+            let withdrawn = told.recv().await;
+            assert!(matches!(withdrawn, Some(Asked::Withdraw { to, id }) if to.port() == 80 && id == "w"));
+        });
+    }
+
+    #[test]
+    fn of_two_claims_at_once_the_elders_stands() {
+        run(Time::Stands, async {
+            let ((elder, _asked), (younger, mut told)) = pair();
+            let answer = async {
+                let Some(Asked::Claim { free, .. }) = told.recv().await else { panic!("no claim") };
+                free.send(true).expect("it waits");
+            };
+            let (first, second, ()) = tokio::join!(elder.claim("a"), younger.claim("a"), answer);
+            assert!(first.is_some() && second.is_none());
+        });
+    }
+
+    #[test]
+    fn a_claim_that_was_granted_counts_before_its_job_is_held() {
+        run(Time::Stands, async {
+            let (one, other) = UnixStream::pair().expect("a pair");
+            let (younger, mut asked) = Link::start(one, false, Decoder::default());
+            let elder = async {
+                read_frame(&other, &mut Decoder::default()).await.expect("its claim");
+                // Both come in one piece: nothing runs between them.
+                let [yes, claim] = [Frame::Claimed(true).encode(1), Frame::Claim("a".into()).encode(2)];
+                let both = [yes.expect("short"), claim.expect("short")].concat();
+                write_all(&other, both.into()).await.expect("it reads");
+                read_frame(&other, &mut Decoder::default()).await.expect("an answer")
+            };
+            let node = async {
+                let asked = asked.recv().await;
+                panic!("the link knows, lost: {}", matches!(asked, Some(Asked::Lost)))
+            };
+            let both = async { tokio::join!(younger.claim("a"), elder) };
+            let (claim, answer) = tokio::select! { both = both => both, () = node => unreachable!() };
+            assert!(claim.is_some() && answer == Frame::Claimed(false));
+        });
+    }
+
+    #[test]
+    fn what_waits_when_the_link_is_lost_goes_without_an_answer() {
+        run(Time::Stands, async {
+            let ((elder, mut asked), (younger, mut told)) = pair();
+            let lose = async {
+                let Some(Asked::Word { .. }) = asked.recv().await else { panic!("no word") };
+                elder.close();
+            };
+            let (word, claim, ()) = tokio::join!(younger.word("w".into()), younger.claim("a"), lose);
+            assert_eq!(word, Heard::Unheard);
+            assert!(claim.is_some() && !younger.up());
+            younger.lost().await;
+            assert_eq!(younger.call(&Call::Drain).await, None);
+            assert!(matches!(told.recv().await, Some(Asked::Lost)) && told.recv().await.is_none());
+        });
+    }
+
+    #[test]
+    fn one_that_does_not_answer_or_read_holds_nothing_up() {
+        run(Time::Goes, async {
+            let ((_elder, _asked), (younger, mut told)) = pair();
+            assert_eq!(younger.word("w".into()).await, Heard::Unheard);
+            assert!(younger.claim("a").await.is_some() && younger.up());
+            assert_eq!(younger.take_over().await, None);
+            // It may have handed over: only that the link is lost tells it to take back.
+            assert!(!younger.up() && matches!(told.recv().await, Some(Asked::Lost)));
+
+            let (one, _reads_nothing) = UnixStream::pair().expect("a pair");
+            let (link, _asked) = Link::start(one, true, Decoder::default());
+            let body = Bytes::from(vec![0; 100 << 10]);
+            for _ in 0..=MOST_UNWRITTEN / body.len() {
+                link.answer(1, Frame::Word(body.clone()));
+            }
+            assert!(!link.up());
+            link.written().await;
+        });
+    }
+
+    /// What comes of a hello to one that says these bytes and ends.
+    async fn answered(bytes: &[u8]) -> HandoverError {
+        let (_dir, _listener, at, place) = place();
+        let there = UnixListener::bind(place.path()).expect("a socket");
+        let says = async {
+            let (stream, _) = there.accept().await.expect("a hello");
+            read_frame(&stream, &mut Decoder::default()).await.expect("a hello");
+            write_all(&stream, Bytes::copy_from_slice(bytes)).await.expect("it reads");
+        };
+        tokio::join!(call_on(&place, "n", at), says).0.err().expect("no elder")
+    }
+
+    #[test]
+    fn whoever_else_is_there_is_passed_over() {
+        run(Time::Stands, async {
+            let welcome = Frame::Welcome("learned".into()).encode(0).expect("short");
+            let mut older = welcome.to_vec();
+            older[4] = 0;
+            assert!(matches!(answered(b"HTTP/1.1 400").await, HandoverError::Speech(FrameError::Foreign)));
+            let error = answered(&older).await;
+            assert!(
+                matches!(error, HandoverError::Speech(FrameError::OtherVersion { theirs: 0, .. })),
+                "{error}"
+            );
+            assert!(matches!(answered(&welcome[..9]).await, HandoverError::Speech(FrameError::Torn)));
+            assert!(matches!(answered(&welcome).await, HandoverError::NoListener { .. }));
+            assert!(matches!(answered(b"").await, HandoverError::Gone(_)));
+            let busy = Frame::TurnedAway(Why::Busy).encode(0).expect("short");
+            assert!(answered(&busy).await.is_busy());
+        });
+        run(Time::Goes, async {
+            let (_dir, _listener, at, place) = place();
+            let _silent = UnixListener::bind(place.path()).expect("a socket");
+            assert!(matches!(call_on(&place, "n", at).await, Err(HandoverError::Silent)));
+        });
+    }
+
+    #[test]
+    fn a_seat_hears_successors_whatever_strangers_say() {
+        run(Time::Stands, async {
+            let (_dir, listener, at, place) = place();
+            let (_seat, mut heard) = seat(&place);
+            for bytes in [&b"GET / HTTP/1.1\r\n"[..], b"CW", b"CWUS\x00"] {
+                let stranger = UnixStream::connect(place.path()).await.expect("it sits");
+                write_all(&stranger, Bytes::copy_from_slice(bytes)).await.expect("it reads");
+            }
+            // Another's listener is not taken.
+            let other = TcpListener::bind("127.0.0.1:0").expect("a listener");
+            let wrong = async { heard.recv().await.expect("a hello").welcome(&other, Bytes::new()).await };
+            let (error, _) = tokio::join!(call_on(&place, "n", at), wrong);
+            assert!(matches!(error, Err(HandoverError::NoListener { .. })));
+            let no = async { heard.recv().await.expect("a hello").turn_away(Why::Busy).await };
+            let (error, ()) = tokio::join!(call_on(&place, "n", at), no);
+            assert!(error.err().expect("no elder").is_busy());
+            welcomed(&mut heard, &listener, Bytes::new(), &place).await;
+        });
+    }
+
+    #[test]
+    fn the_last_to_sit_down_is_found_and_no_other_takes_its_seat_away() {
+        run(Time::Stands, async {
+            let (_dir, listener, at, place) = place();
+            assert!(call_on(&place, "n", at).await.expect("an answer").is_none(), "no file");
+            drop(UnixListener::bind(place.path()).expect("a socket"));
+            assert!(call_on(&place, "n", at).await.expect("an answer").is_none(), "left by a dead one");
+            let (first, _) = seat(&place);
+            let (second, mut heard) = seat(&place);
+            first.up();
+            welcomed(&mut heard, &listener, Bytes::new(), &place).await;
+            let mode = fs::symlink_metadata(place.path()).expect("a socket").mode();
+            assert_eq!(mode & 0o777, 0o600);
+            second.up();
+            assert!(!place.path().exists());
+            assert!(call_on(&place, "n", at).await.expect("an answer").is_none());
+        });
+    }
+
+    #[test]
+    fn a_directory_with_a_long_name_will_do_and_one_that_is_not_there_is_named() {
+        run(Time::Stands, async {
+            let (dir, listener, at, _) = place();
+            let long = dir.path().join("d".repeat(150));
+            let place = Place::new(&long, at);
+            let Err(error) = Seat::sit(&place, mpsc::channel(1).0) else { panic!("nowhere to sit") };
+            assert!(matches!(error, HandoverError::Place { .. }) && error.to_string().contains("$TMPDIR"));
+            fs::create_dir(&long).expect("a directory");
+            let (_seat, mut heard) = seat(&place);
+            welcomed(&mut heard, &listener, Bytes::new(), &place).await;
+        });
+    }
+
+    #[test]
+    fn of_two_starts_at_once_one_waits_for_the_other() {
+        run(Time::Goes, async {
+            let (_dir, _listener, _, place) = place();
+            let first = place.turn().await.expect("its turn");
+            assert!(matches!(place.turn().await, Err(HandoverError::Held { .. })));
+            let second = spawn_local({
+                let place = place.clone();
+                async move { place.turn().await.is_ok() }
+            });
+            yield_now().await;
+            assert!(!second.is_finished());
+            drop(first);
+            assert!(second.await.expect("it ends"));
+        });
+    }
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -6,6 +6,8 @@
 mod config;
 mod counters;
 mod dispatch;
+#[allow(dead_code)] // Until it is wired.
+mod handover;
 mod lifecycle;
 mod logs;
 mod next_hop;
