Merge the link between both processes of a node: frames, succession, handover

Need: an upgrade has two processes of one node beside each other; who owns what has to be decided in one place, and both need a link to pass call-backs, claims and calls on. Change: crates/operation gains frames (bounded, versioned, checksummed) and the succession with claims, no I/O; the node gains handover.rs, the Unix socket, the listener passed over it, requests with bounds of time. Not wired yet.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -7,6 +7,8 @@
 mod console;
 mod counters;
 mod dispatch;
+#[allow(dead_code)] // Until it is wired.
+mod handover;
 mod lifecycle;
 mod logs;
 mod next_hop;
--- a/crates/operation/src/lib.rs
+++ b/crates/operation/src/lib.rs
@@ -6,4 +6,6 @@
 
 pub mod bans;
 pub mod call;
+pub mod frame;
 pub mod phase;
+pub mod succession;
