A version beside the running one: the listener goes over, call-backs and calls are passed on

Change: upgrade.rs carries out what operation::succession decides. The newer process gets the older one's listening socket and takes it over once discovery has answered; the older sends its clients on, and takes the node back if the newer one dies. While both run: ids are claimed at the other, call-backs for its jobs passed on and acknowledged only once heard, operators' calls held by both, descriptors halved, what was learned and spent at cold workers handed over (core/heritage.rs), unheard withdrawals too.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -340,6 +340,8 @@
         let a_slot = self.settings.overload_factor * self.fleet.speed(w) * warmth * window;
         let slots = self.fleet.proven_slots(w);
         let share = match (self.group_nodes(), self.turns(now, a_slot * slots)) {
+            // Both processes of a node have one budget: what is left of it is the successor's.
+            _ if self.retired => 0.0,
             (1, _) => COLD_MARGIN,
             // One job, once: operators put it back, and wait to see it used.
             _ if w.owed.is_some() => COLD_TURN_MARGIN,
--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -39,6 +39,8 @@
     pub(crate) top_worth: f64,
     /// All must be answered by then.
     pub(crate) ends: Micros,
+    /// Another process of this node has taken over.
+    pub(crate) retired: bool,
     pub(crate) wake_at: Option<Micros>,
     /// Own work at some worker has changed since it was last told.
     pub(crate) news: bool,
@@ -84,6 +86,7 @@
             copy_work: 0.0,
             top_worth: settings.classes.iter().map(|c| c.worth).fold(1e-9, f64::max),
             ends: Micros::MAX,
+            retired: false,
             wake_at: None,
             news: false,
             tell_at: None,
@@ -125,6 +128,7 @@
                 self.fleet.put_back(now, worker);
                 self.dispatch(now, out);
             }
+            Event::Retired(retired) => self.retired = retired,
             Event::Ending { by } => {
                 self.ends = by;
                 self.woken(now, out);
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -335,6 +335,8 @@
         /// Whether it is taken out; may be said again of one that is out, or that is not.
         out: bool,
     },
+    /// Another process of this node has taken over, or is gone again: cold workers are that one's to fill meanwhile.
+    Retired(bool),
     /// This node is to end: all that it has taken must be answered by then.
     Ending {
         /// The moment.
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -569,6 +569,11 @@
         ((came - 1.0).max(0.0) + KEY_ONCE) / ((self.last_keys.len() as f64 - 1.0).max(0.0) + KEY_PRIOR)
     }
 
+    /// Keys of the last jobs that came, the oldest first.
+    pub fn last_keys(&self) -> impl Iterator<Item = u64> {
+        self.last_keys.iter().copied()
+    }
+
     /// A job of that key has come.
     pub fn heed_key(&mut self, key: Option<u64>) {
         self.last_keys.extend(key);
@@ -690,7 +695,7 @@
         self.near.iter().for_each(|i| self.workers[*i].near = true);
     }
 
-    fn kind_at(&mut self, kind: KindId) -> usize {
+    pub fn kind_at(&mut self, kind: KindId) -> usize {
         self.kinds.iter().position(|k| k.id == kind).unwrap_or_else(|| {
             self.kinds.push(Kind::new(kind));
             self.kinds.len() - 1
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -94,9 +94,11 @@
 
 mod choice;
 mod dispatcher;
+mod heritage;
 mod interface;
 mod ledger;
 mod peers;
 
 pub use dispatcher::Dispatcher;
+pub use heritage::Learned;
 pub use interface::*;
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -1096,3 +1096,39 @@
     // What may have run fails before the end, however long its client would wait.
     assert!(failed(&node.pass(3 * SECOND - 40_000)));
 }
+
+#[test]
+fn a_successor_knows_speeds_pauses_and_what_was_spent_at_a_cold_worker() {
+    let mut workers = fleet(3);
+    let mut elder = Node::new(settings(), &workers);
+    elder.teach(&workers, 1, 4.0, 100);
+    workers[2].started = elder.now;
+    elder.tell(Event::Listed { entries: &workers, whole: true });
+    // It spends what a cold worker may get: the only one that is listed gets one job.
+    elder.tell(Event::Listed { entries: &workers[2..], whole: true });
+    assert_eq!(sent(&elder.offer(1, 2, 0.2)), Some(2));
+    elder.tell(Event::Listed { entries: &workers, whole: true });
+    let learned = elder.dispatcher.learned(elder.now);
+
+    let successor = |learned: &Learned| {
+        let mut node = Node::new(settings(), &workers);
+        node.now = elder.now;
+        node.dispatcher.inherit(node.now, learned);
+        node
+    };
+    assert_eq!(sent(&successor(&learned).offer(1, 0, 0.1)), Some(1), "the fast one");
+    let mut node = successor(&learned);
+    node.tell(Event::Listed { entries: &workers[2..], whole: true });
+    assert_eq!(sent(&node.offer(1, 2, 0.2)), None, "spent by the elder");
+    let mut node = successor(&Learned::default());
+    node.tell(Event::Listed { entries: &workers[2..], whole: true });
+    assert_eq!(sent(&node.offer(1, 2, 0.2)), Some(2));
+    // And the elder sends nothing more there once it has handed over, until it has the node back.
+    elder.now += 2 * SECOND;
+    elder.end(1, 0, Outcome::Done);
+    elder.tell(Event::Retired(true));
+    elder.tell(Event::Listed { entries: &workers[2..], whole: true });
+    assert_eq!(sent(&elder.offer(2, 2, 0.1)), None);
+    elder.tell(Event::Retired(false));
+    assert_eq!(sent(&elder.pass(SECOND)), Some(2));
+}
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -10,10 +10,12 @@
 
 use bytes::Bytes;
 use curlewusher::{
-    Action, ClassId, Dispatcher, Event, JobId, Life, Listing, Micros, Offer, Outcome, TenantId, WorkerId,
+    Action, ClassId, Dispatcher, Event, JobId, Learned, Life, Listing, Micros, Offer, Outcome, TenantId,
+    WorkerId,
 };
 use curlewusher_operation::bans::Bans;
 use curlewusher_operation::call::Verdict;
+use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 use tracing::{debug, trace};
 
@@ -133,6 +135,13 @@
         id: String,
         from: String,
         word: Word,
+        /// Whether a job of that id is in hand, for whoever would look for it elsewhere.
+        held: Option<oneshot::Sender<bool>>,
+    },
+    /// Whether a job of that id is in hand.
+    Holds {
+        id: String,
+        held: oneshot::Sender<bool>,
     },
     Accepted(AttemptKey),
     Ended(AttemptKey, Outcome),
@@ -151,6 +160,23 @@
 pub enum Order {
     /// Nothing more to the next hop of that name, or work for it again.
     Maintain { name: String, out: bool, verdict: oneshot::Sender<Verdict> },
+    /// The same for one that the other process of this node knows, whether or not a list here has named it.
+    Follow { name: String, out: bool, verdict: oneshot::Sender<Verdict> },
+    /// What is known now, for a successor.
+    Bequeath(oneshot::Sender<Estate>),
+    /// What the process before this one knew.
+    Inherit(Box<Estate>),
+    /// Whether the other process of this node has taken over.
+    Retire(bool),
+}
+
+/// What goes from a process to its successor.
+#[derive(Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Estate {
+    pub bans: Bans,
+    /// None where only what operators called for is to be taken on.
+    pub learned: Option<Learned>,
 }
 
 pub type Queue<P> = mpsc::Sender<Notice<P>>;
@@ -290,6 +316,23 @@
                 // An operator who no longer waits may ask again.
                 let _ = verdict.send(said);
             }
+            Order::Follow { name, out, verdict } => {
+                self.bans.listed([name.as_str()]);
+                self.obey(Order::Maintain { name, out, verdict });
+            }
+            Order::Bequeath(estate) => {
+                let learned = Some(self.dispatcher.learned(self.clock.now()));
+                let _ = estate.send(Estate { bans: self.bans.clone(), learned });
+            }
+            Order::Inherit(estate) => {
+                for (name, out) in self.bans.inherit(estate.bans) {
+                    self.tell(Event::Maintenance { worker: WorkerId::of_name(&name), out });
+                }
+                if let Some(learned) = &estate.learned {
+                    self.dispatcher.inherit(self.clock.now(), learned);
+                }
+            }
+            Order::Retire(retired) => self.tell(Event::Retired(retired)),
         }
     }
 
@@ -307,7 +350,14 @@
                     self.forget(job);
                 }
             }
-            Notice::Told { id, from, word } => self.told(&id, &from, word),
+            Notice::Told { id, from, word, held } => {
+                if let Some(held) = held {
+                    // Who asks looks elsewhere next, and has ended if it does not listen.
+                    let _ = held.send(self.ids.contains_key(id.as_str()));
+                }
+                self.told(&id, &from, word);
+            }
+            Notice::Holds { id, held } => _ = held.send(self.ids.contains_key(id.as_str())),
             Notice::Accepted(key) => {
                 if let Some(attempt) = self.attempt(key) {
                     attempt.accepted = true;
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -618,6 +618,7 @@
     }
 
     /// Returns once the link is lost.
+    #[cfg(test)]
     pub async fn lost(&self) {
         // The sender is in the link itself.
         let _ = self.0.up.subscribe().wait_for(|up| !up).await;
@@ -872,6 +873,22 @@
     }
 }
 
+/// The other process of this node, as far as this one is linked to it: the one place where all parts look for it.
+#[derive(Clone, Default)]
+pub struct Peer(Rc<RefCell<Option<Link>>>);
+
+impl Peer {
+    /// The link, while it is up.
+    pub fn link(&self) -> Option<Link> {
+        self.0.borrow().clone().filter(Link::up)
+    }
+
+    /// There is another from now on, or none.
+    pub fn set(&self, link: Option<Link>) {
+        *self.0.borrow_mut() = link;
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -7,14 +7,16 @@
 mod console;
 mod counters;
 mod dispatch;
-#[allow(dead_code)] // Until it is wired.
 mod handover;
 mod lifecycle;
 mod logs;
 mod next_hop;
+mod operate;
+mod places;
 mod sender_side;
 mod serve;
 mod transport_map;
+mod upgrade;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/node/src/next_hop.rs
+++ b/crates/node/src/next_hop.rs
@@ -18,7 +18,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, oneshot};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 use tracing::{debug, trace};
@@ -26,6 +26,7 @@
 use crate::counters::{Counter, Counters};
 use crate::dispatch::{Carrier, DeliveryAttempt, Notice, Queue};
 use crate::logs::NEXT_HOP;
+use crate::places::Places;
 
 pub const X_REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 pub const X_DEADLINE: HeaderName = HeaderName::from_static("x-deadline");
@@ -120,7 +121,9 @@
     connect_timeout: Duration,
     keepalive: Duration,
     tuning: Rc<Cell<Tuning>>,
-    room: std::sync::Arc<Semaphore>,
+    room: Places,
+    /// Jobs that next hops have not yet heard are not wanted, and where.
+    unheard: RefCell<Vec<(SocketAddr, String)>>,
     /// Delivery attempts that are out or being withdrawn.
     busy: Cell<usize>,
 }
@@ -156,7 +159,7 @@
         connect_timeout: Duration,
         keepalive: Duration,
         tuning: Rc<Cell<Tuning>>,
-        most: usize,
+        room: Places,
     ) -> Self {
         NextHops(Rc::new(Shared {
             queue,
@@ -165,7 +168,8 @@
             connect_timeout,
             keepalive,
             tuning,
-            room: std::sync::Arc::new(Semaphore::new(most)),
+            room,
+            unheard: RefCell::default(),
             busy: Cell::new(0),
         }))
     }
@@ -177,6 +181,25 @@
         self.0.tuning.get().reuse_ms.millis().min(self.0.keepalive / 2)
     }
 
+    /// Uses half of its places or all.
+    pub fn share(&self, half: bool) {
+        self.0.room.share(half, || drop(self.0.make_way()));
+    }
+
+    /// Withdrawals that no next hop has heard yet.
+    pub fn unheard(&self) -> Vec<(SocketAddr, String)> {
+        self.0.unheard.borrow().clone()
+    }
+
+    /// Makes a withdrawal that the process before this one could not end.
+    pub fn take_over_withdrawal(&self, to: SocketAddr, id: String) {
+        let hops = self.clone();
+        tokio::task::spawn_local(async move {
+            let _busy = Busy::new(&hops.0.busy);
+            hops.withdraw(to, &id).await;
+        });
+    }
+
     /// Whether nothing is under way.
     pub fn at_rest(&self) -> bool {
         self.0.busy.get() == 0
@@ -255,10 +278,16 @@
             Request::delete(format!("/jobs/{id}")).header(HOST, to.to_string()).body(Full::new(Bytes::new()))
         };
         let mut pause = WITHDRAWN_AGAIN;
+        let this = (to, id.to_owned());
+        self.0.unheard.borrow_mut().push(this.clone());
         loop {
             let longest = self.0.tuning.get().withdrawal_ms.millis();
             let answer = self.exchange(to, request, &mut None, &mut false, longest).await;
             if matches!(answer, Exchange::Answered(..)) {
+                let mut unheard = self.0.unheard.borrow_mut();
+                if let Some(at) = unheard.iter().position(|u| *u == this) {
+                    unheard.swap_remove(at);
+                }
                 return;
             }
             self.0.counters.add(Counter::WithdrawalsUnheard);
@@ -371,11 +400,18 @@
 
     /// Room for one more connection. Where all is used, an idle one makes way.
     async fn room(&self) -> Option<OwnedSemaphorePermit> {
-        if self.0.room.available_permits() == 0 {
-            let mut idle = self.0.idle.borrow_mut();
-            idle.values_mut().find(|links| !links.is_empty()).map(|links| links.remove(0));
+        if self.0.room.free() == 0 {
+            drop(self.0.make_way());
         }
-        self.0.room.clone().acquire_owned().await.ok()
+        self.0.room.take().await
+    }
+}
+
+impl Shared {
+    /// An idle connection, taken out so that its place comes free.
+    fn make_way(&self) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        idle.values_mut().find(|links| !links.is_empty()).map(|links| links.remove(0))
     }
 }
 
--- /dev/null
+++ b/crates/node/src/operate.rs
@@ -0,0 +1,81 @@
+//! Owns how operators' calls are carried out, in this process and in the other one of its node. It must never answer yes
+//! before both hold what was called for, and never keep a list of its own: bans are the dispatch task's.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use curlewusher_operation::call::{Call, Refusal, Verdict, answer};
+use tokio::sync::{mpsc, oneshot};
+use tracing::info;
+
+use crate::console::Handed;
+use crate::dispatch::Order;
+use crate::handover::Peer;
+use crate::lifecycle::{Lifecycle, Move};
+use crate::logs::NODE;
+
+/// Carries out calls.
+#[derive(Clone)]
+pub struct Operations {
+    pub name: Rc<str>,
+    pub lifecycle: Lifecycle,
+    pub order: mpsc::Sender<Order>,
+    pub peer: Peer,
+    /// A call for a drain or its end has come to this process, or to the other while both ran.
+    pub drain_called: Rc<Cell<bool>>,
+}
+
+impl Operations {
+    /// Serves the second address, for as long as there is one.
+    pub async fn serve(self, calls: Option<mpsc::Receiver<Handed>>) {
+        let Some(mut calls) = calls else { return std::future::pending().await };
+        while let Some((call, verdict)) = calls.recv().await {
+            let said = self.carry_out(&call).await;
+            info!(target: NODE, "curlewusher {}: {call}: {}", self.name, answer(&Ok(said.clone())).trim_end());
+            // An operator who no longer waits may ask again.
+            let _ = verdict.send(said);
+        }
+    }
+
+    async fn carry_out(&self, call: &Call) -> Verdict {
+        if self.lifecycle.phase().ends() {
+            return Err(Refusal::Ending);
+        }
+        self.here(call, false).await?;
+        match self.peer.link() {
+            // One that is gone meanwhile has nothing to hold any more.
+            Some(link) => {
+                link.call(call).await.unwrap_or(if link.up() { Err(Refusal::NotDone) } else { Ok(()) })
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// A call that came to the other process of this node.
+    pub async fn follow(&self, call: &Call) -> Verdict {
+        self.here(call, true).await
+    }
+
+    async fn here(&self, call: &Call, vouched: bool) -> Verdict {
+        let (verdict, said) = oneshot::channel();
+        let order = match (call, vouched) {
+            (Call::Ready, _) => return Ok(()),
+            (Call::Drain | Call::Undrain, _) => {
+                let by = if *call == Call::Drain { Move::Drain } else { Move::Undrain };
+                // No move of the table: it is so already, or the process ends.
+                let _ = self.lifecycle.go(by);
+                self.drain_called.set(true);
+                return Ok(());
+            }
+            (Call::Disable(name) | Call::Enable(name), vouched) => {
+                let (name, out) = (name.clone(), matches!(call, Call::Disable(_)));
+                match vouched {
+                    true => Order::Follow { name, out, verdict },
+                    false => Order::Maintain { name, out, verdict },
+                }
+            }
+        };
+        self.order.send(order).await.map_err(|_| Refusal::NotDone)?;
+        said.await.unwrap_or(Err(Refusal::NotDone))
+    }
+}
--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -14,6 +14,7 @@
 
 use bytes::{Bytes, BytesMut};
 use curlewusher::{ClassId, Effect, number_of};
+use curlewusher_operation::succession::{Route, route};
 use curlewusher_settings::Site;
 use curlewusher_settings::operator::SenderSide as Tuning;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -28,16 +29,18 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::OwnedPermit;
-use tokio::sync::{Notify, Semaphore, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{debug, warn};
 
 use crate::counters::{Counter, Counters};
 use crate::dispatch::{Answer, Clock, Notice, Queue, Taken, Ticket, Word};
+use crate::handover::{Heard, Peer};
 use crate::lifecycle::Lifecycle;
 use crate::logs::SENDER_SIDE;
 use crate::next_hop::{IDEMPOTENCY_KEY, Parcel, X_DEADLINE, X_REQUEST_ID};
+use crate::places::Places;
 
 const X_CLASS: HeaderName = HeaderName::from_static("x-class");
 const X_RETRY: HeaderName = HeaderName::from_static("x-retry");
@@ -297,11 +300,14 @@
     counters: Counters,
     tuning: Rc<Cell<Tuning>>,
     callers: RefCell<Vec<Weak<Caller>>>,
-    room: std::sync::Arc<Semaphore>,
-    /// Jobs taken and not yet answered, and the most of them: others must find room for what they have to say.
+    room: Places,
+    /// Jobs taken and not yet answered.
     open: Cell<usize>,
-    most_open: usize,
     answered: Notify,
+    /// Whether new connections are this process's to take.
+    accepts: watch::Sender<bool>,
+    /// The other process of this node, while there is one.
+    peer: Peer,
 }
 
 /// The sender side of the node; one more for each connection, which is then its caller.
@@ -446,10 +452,11 @@
         queue: Queue<Parcel>,
         clock: Clock,
         site: &Site,
-        most: usize,
+        room: Places,
         lifecycle: Lifecycle,
         counters: Counters,
         tuning: Rc<Cell<Tuning>>,
+        peer: Peer,
     ) -> Self {
         let keyed = site.decisions.classes.iter().map(|c| matches!(c.effect, Effect::Keyed { .. }));
         let shared = Rc::new(Shared {
@@ -460,20 +467,25 @@
             counters,
             tuning,
             callers: RefCell::default(),
-            room: std::sync::Arc::new(Semaphore::new(most)),
+            room,
             open: Cell::new(0),
-            most_open: most * 3 / 4,
             answered: Notify::new(),
+            accepts: watch::Sender::new(false),
+            peer,
         });
         SenderSide { shared, caller: None }
     }
 
-    pub fn listen(&self, at: SocketAddr) -> std::io::Result<TcpListener> {
+    /// `shared`: another process of this node may listen there as well.
+    pub fn listen(&self, at: SocketAddr, shared: bool) -> std::io::Result<std::net::TcpListener> {
         let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         // A restart must not wait for the old connections to be forgotten.
         socket.set_reuseaddr(true)?;
+        if shared {
+            socket.set_reuseport(true)?;
+        }
         socket.bind(at)?;
-        socket.listen(BACKLOG)
+        socket.listen(BACKLOG)?.into_std()
     }
 
     /// Takes connections, as many as there are descriptors for, and closes those whose time is up.
@@ -492,18 +504,41 @@
         tokio::join!(self.take_connections(listener), look);
     }
 
+    /// Takes new connections from now on, or leaves them in the queue for the other process of this node.
+    pub fn accepts(&self, accepts: bool) {
+        self.shared.accepts.send_replace(accepts);
+    }
+
+    /// Uses half of its places or all.
+    pub fn share(&self, half: bool) {
+        self.shared.room.share(half, || self.make_way());
+    }
+
+    /// Most jobs that may be open: others must find room for what they have to say.
+    fn most_open(&self) -> usize {
+        self.shared.room.wanted() * 3 / 4
+    }
+
     async fn take_connections(&self, listener: TcpListener) {
+        let mut accepts = self.shared.accepts.subscribe();
         loop {
+            // The sender is this object's own.
+            let _ = accepts.wait_for(|accepts| *accepts).await;
             // All may be busy now and idle later: one such look is not enough, or nothing is accepted again.
             let room = loop {
-                if self.shared.room.available_permits() <= SPARE {
+                if self.shared.room.free() <= SPARE {
                     self.make_way();
                 }
-                if let Ok(room) = timeout(ACCEPT_PAUSE, self.shared.room.clone().acquire_owned()).await {
+                if let Ok(room) = timeout(ACCEPT_PAUSE, self.shared.room.take()).await {
                     break room;
                 }
             };
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                _ = accepts.changed() => continue,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     // It is known as a caller from here on, not from when its task first runs: a burst is
                     // accepted before that, and would fill all places with connections that none can close.
@@ -706,12 +741,39 @@
         }
         let body = self.body(request.into_body()).await?;
         let (id, from, word) = Callback::read(&body).map_err(bad)?;
-        if self.shared.queue.send(Notice::Told { id, from, word }).await.is_err() {
+        let (held, holds) = self
+            .shared
+            .peer
+            .link()
+            .map(|link| (link, oneshot::channel()))
+            .map_or((None, None), |(link, (held, holds))| (Some(held), Some((link, holds))));
+        if self.shared.queue.send(Notice::Told { id, from, word, held }).await.is_err() {
             return Err((StatusCode::SERVICE_UNAVAILABLE, "this node has ended".into()));
         }
+        if let Some((link, holds)) = holds
+            && route(holds.await.unwrap_or(false), link.up()) == Route::PassOn
+            && link.word(body).await == Heard::Unheard
+        {
+            // The other process may hold its job and has not heard it: the next hop is to say it again.
+            return Err((StatusCode::SERVICE_UNAVAILABLE, "not heard; say it again".into()));
+        }
         Ok(reply(StatusCode::NO_CONTENT, ""))
     }
 
+    /// A call-back that came to the other process of this node. Whether a job here is meant.
+    pub async fn hear(&self, body: Bytes) -> bool {
+        let Ok((id, from, word)) = Callback::read(&body) else { return false };
+        let (held, holds) = oneshot::channel();
+        let told = Notice::Told { id, from, word, held: Some(held) };
+        self.shared.queue.send(told).await.is_ok() && holds.await.unwrap_or(false)
+    }
+
+    /// Whether a job of that id is in hand.
+    pub async fn holds(&self, id: String) -> bool {
+        let (held, holds) = oneshot::channel();
+        self.shared.queue.send(Notice::Holds { id, held }).await.is_ok() && holds.await.unwrap_or(false)
+    }
+
     async fn job(&self, request: Request<Incoming>) -> Result<Reply, Malformed> {
         let shared = &self.shared;
         let came = shared.clock.now();
@@ -755,11 +817,17 @@
             body: self.body(incoming).await?,
         };
 
-        if shared.open.get() >= shared.most_open {
+        if shared.open.get() >= self.most_open() {
             shared.counters.add(Counter::Crowded);
             return Ok(deferred(shared.tuning.get().crowded_retry_ms.millis()));
         }
         let ended = || (StatusCode::BAD_GATEWAY, "this node has ended".to_owned());
+        let duplicate = || (StatusCode::CONFLICT, "a job of this x-request-id is in hand".to_owned());
+        // While another process of this node runs, a job of one id must not be in hand at both.
+        let claim = match shared.peer.link() {
+            Some(link) => Some(link.claim(&id).await.ok_or_else(duplicate)?),
+            None => None,
+        };
         let ticket = Ticket::default();
         let place_for_gone = shared.queue.clone().reserve_owned().await.map_err(|_| ended())?;
         shared.open.set(shared.open.get() + 1);
@@ -778,15 +846,15 @@
             answer,
         };
         shared.queue.send(Notice::Taken(taken)).await.map_err(|_| ended())?;
+        // From here on the dispatch task knows the id.
+        drop(claim);
         let answer = answered.await.map_err(|_| ended())?;
         open.gone = None;
         Ok(match answer {
             Answer::Served(result) => reply(StatusCode::OK, result),
             Answer::Defer { after } => deferred(after),
             Answer::Failed => reply(StatusCode::BAD_GATEWAY, "failed: it may have run\n"),
-            Answer::Duplicate => {
-                return Err((StatusCode::CONFLICT, "a job of this x-request-id is in hand".into()));
-            }
+            Answer::Duplicate => return Err(duplicate()),
         })
     }
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,25 +1,30 @@
 //! Owns the start of the parts and the order of their end. It must never do the work of a part.
 
 use std::cell::Cell;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
 use curlewusher::Dispatcher;
-use curlewusher_operation::call::{Call, Refusal, Verdict, answer};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tracing::{error, info};
 
 use crate::config::{Config, Told};
 use crate::console;
 use crate::counters::{Counter, Counters};
-use crate::dispatch::{Clock, Dispatch, Notice, Order, QUEUE_ROOM};
+use crate::dispatch::{Clock, Dispatch, Notice, QUEUE_ROOM};
+use crate::handover::Peer;
 use crate::lifecycle::{DRAIN_AT_LEAST, DRAIN_AT_MOST, LAST_ANSWERS, Lifecycle, Move};
 use crate::logs::{Logs, NODE};
 use crate::next_hop::NextHops;
+use crate::operate::Operations;
+use crate::places::Places;
 use crate::sender_side::SenderSide;
 use crate::transport_map::{Names, TransportMap};
+use crate::upgrade::{Beginning, Parts, Upgrade};
 
 /// Descriptors that are neither for clients nor for next hops: standard streams, discovery, the listener, the
 /// event queue, and some to spare.
@@ -30,6 +35,10 @@
 const ORDERS_ROOM: usize = 64;
 /// The last withdrawals may take this long after the last answer.
 const LAST_WORDS: Duration = Duration::from_millis(1500);
+/// Where another process goes on with them, this is enough.
+const PASSING_ON: Duration = Duration::from_millis(100);
+/// With fewer descriptors a process cannot serve.
+const LEAST_SOCKETS: usize = 24;
 
 /// Serves until SIGTERM.
 pub fn run(told: &Told) -> Result<(), String> {
@@ -67,15 +76,20 @@
     let (queue, notices) = mpsc::channel(QUEUE_ROOM);
     let (ask, asked) = mpsc::channel(1);
     let (move_to, moved) = watch::channel(discovery);
+    let (there, is_there) = watch::channel(false);
+    // Of the descriptors a third is for next hops. While two processes of the node run, each lives in half of them.
     let spared = RESERVED_SOCKETS.min(limits.sockets / 4) + console.map_or(0, |_| console::SOCKETS);
-    let sockets = limits.sockets - spared;
+    let all = limits.sockets.saturating_sub(spared).max(LEAST_SOCKETS);
+    let half =
+        (limits.sockets / 2).saturating_sub(spared / 2 + console::SOCKETS / 2).clamp(LEAST_SOCKETS, all);
+    let peer = Peer::default();
     let next_hops = NextHops::new(
         queue.clone(),
         counters.clone(),
         Duration::from_micros(site.connect_timeout),
         Duration::from_micros(site.keepalive),
         next_hop_tuning.clone(),
-        sockets / 3,
+        Places::new(all / 3, half / 3),
     );
     let mut names = Names::new(&site);
     let hops = names.hops(&known.endpoints);
@@ -88,7 +102,7 @@
         names,
         index: known.index,
         queue: queue.clone(),
-        lifecycle: lifecycle.clone(),
+        there,
         counters: counters.clone(),
     };
     let ending = queue.clone();
@@ -96,25 +110,50 @@
         queue,
         clock,
         &site,
-        sockets - sockets / 3,
+        Places::new(all - all / 3, half - half / 3),
         lifecycle.clone(),
         counters.clone(),
         sender_side_tuning.clone(),
+        peer.clone(),
     );
-    let listening = sender_side.listen(listen).and_then(|listener| Ok((listener.local_addr()?, listener)));
-    let (listen, listener) = listening.map_err(|e| format!("config: listen: {listen}: {e}"))?;
-
     let opened = console.map(|at| console::open(at, lifecycle.clone())).transpose();
-    let (operators, mut calls) = opened.map_err(|e| e.to_string())?.unzip();
+    let (operators, calls) = opened.map_err(|e| e.to_string())?.unzip();
+
+    // Where there is no second address nobody starts a version beside another.
+    let folder = console.and_then(|_| std::env::var_os("TMPDIR")).map(PathBuf::from);
+    let beginning = tokio::select! {
+        beginning = Beginning::look(folder, &name, listen) => beginning,
+        _ = terminate.recv() => return Ok(()),
+    };
+    let listener = beginning.listener().unwrap_or_else(|| sender_side.listen(listen, console.is_some()));
+    let bound = listener.and_then(|listener| Ok((listener.local_addr()?, listener.try_clone()?, listener)));
+    let (serves_on, for_successors, listener) = bound.map_err(|e| {
+        format!("config: listen: {listen}: {e}; give `listen` an address of this machine that no other program has")
+    })?;
+    let listener = TcpListener::from_std(listener).map_err(|e| format!("config: listen: {listen}: {e}"))?;
+    let operations = Operations {
+        name: name.as_str().into(),
+        lifecycle: lifecycle.clone(),
+        order,
+        peer,
+        drain_called: Rc::default(),
+    };
+    let parts = Parts {
+        listen,
+        listener: for_successors,
+        sender_side: sender_side.clone(),
+        next_hops: next_hops.clone(),
+        operations: operations.clone(),
+    };
 
     let dispatch = spawn_local(dispatch);
     let map = spawn_local(map.run(asked, moved));
     let sweep = spawn_local(next_hops.clone().sweep());
     let accept = spawn_local(sender_side.clone().accept(listener));
-    if listed {
-        lifecycle.go(Move::Listed);
-    }
-    info!(target: NODE, "curlewusher {name}: serves on {listen}");
+    let follows = beginning.follows();
+    let (upgrade, upgrading) = Upgrade::start(beginning, parts, is_there, listed);
+    let upgrading = spawn_local(upgrading);
+    info!(target: NODE, "curlewusher {name}: {} {serves_on}", if follows { "is to serve on" } else { "serves on" });
     if let Some(at) = operators {
         info!(target: NODE, "curlewusher {name}: operators are answered at {at}");
     }
@@ -138,17 +177,10 @@
             }
         }
     };
-    let operated = async {
-        while let Some((call, verdict)) = next_call(&mut calls).await {
-            let said = carry_out(&call, &lifecycle, &order).await;
-            info!(target: NODE, "curlewusher {name}: {call}: {}", answer(&Ok(said.clone())).trim_end());
-            // An operator who no longer waits may ask again.
-            let _ = verdict.send(said);
-        }
-    };
+    let operated = operations.serve(calls);
     let ended = async {
         terminate.recv().await;
-        lifecycle.go(Move::Terminate);
+        upgrade.terminate().await;
         info!(target: NODE, "curlewusher {name}: drains");
         // Only a dispatch task that has ended does not hear it, and that is said below.
         let _ = ending.send(Notice::Ending(answered_within)).await;
@@ -161,7 +193,10 @@
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
         };
-        let _ = tokio::time::timeout(LAST_WORDS, rest).await;
+        // What no next hop has heard by then the other process goes on with, where there is one.
+        let wait = if upgrade.goes_on() { PASSING_ON } else { LAST_WORDS };
+        let _ = tokio::time::timeout(wait, rest).await;
+        upgrade.leave(&next_hops).await;
         lifecycle.go(Move::Answered);
     };
     // Without the dispatch task or the transport map a node is deaf: better to end than to hang on.
@@ -172,37 +207,10 @@
         // Without its signals it could still serve, but nobody could tell it anything.
         () = reloads => return Err("SIGHUP is no longer delivered".into()),
         end = dispatch => return Err(format!("the dispatch task ended: {end:?}")),
+        end = upgrading => return Err(format!("the upgrade task ended: {end:?}")),
         end = map => return Err(format!("the transport map ended: {end:?}")),
         end = sweep => return Err(format!("the sweep of idle connections ended: {end:?}")),
     }
     logs.figures(&counters.text());
     Ok(())
 }
-
-/// The next call of an operator; never, where there is no second address.
-async fn next_call(calls: &mut Option<mpsc::Receiver<console::Handed>>) -> Option<console::Handed> {
-    match calls {
-        Some(calls) => calls.recv().await,
-        None => std::future::pending().await,
-    }
-}
-
-/// Does what a call asks for, in this process.
-async fn carry_out(call: &Call, lifecycle: &Lifecycle, order: &mpsc::Sender<Order>) -> Verdict {
-    if lifecycle.phase().ends() {
-        return Err(Refusal::Ending);
-    }
-    match call {
-        Call::Ready => return Err(Refusal::NotDone),
-        Call::Drain => _ = lifecycle.go(Move::Drain),
-        Call::Undrain => _ = lifecycle.go(Move::Undrain),
-        Call::Disable(name) | Call::Enable(name) => {
-            let (verdict, said) = oneshot::channel();
-            let maintain =
-                Order::Maintain { name: name.clone(), out: matches!(call, Call::Disable(_)), verdict };
-            order.send(maintain).await.map_err(|_| Refusal::NotDone)?;
-            return said.await.unwrap_or(Err(Refusal::NotDone));
-        }
-    }
-    Ok(())
-}
--- a/crates/node/src/transport_map.rs
+++ b/crates/node/src/transport_map.rs
@@ -21,7 +21,6 @@
 
 use crate::counters::{Counter, Counters};
 use crate::dispatch::{NextHop, Notice, Queue};
-use crate::lifecycle::{Lifecycle, Move};
 use crate::logs::TRANSPORT_MAP;
 use crate::next_hop::Parcel;
 
@@ -192,7 +191,8 @@
     pub names: Names,
     pub index: u64,
     pub queue: Queue<Parcel>,
-    pub lifecycle: Lifecycle,
+    /// Says that a list has come.
+    pub there: watch::Sender<bool>,
     pub counters: Counters,
 }
 
@@ -254,7 +254,7 @@
                     if live.as_ref().is_some_and(|watch| watch.from == self.discovery) {
                         self.index = message.index;
                     }
-                    self.lifecycle.go(Move::Listed);
+                    self.there.send_replace(true);
                     let hops = self.names.hops(&message.endpoints);
                     let (index, entries, whole) = (message.index, hops.len(), message.snapshot);
                     debug!(target: TRANSPORT_MAP, index, entries, whole, "list or change");
--- a/crates/operation/src/bans.rs
+++ b/crates/operation/src/bans.rs
@@ -17,6 +17,9 @@
 pub struct Bans {
     out: BTreeSet<String>,
     listed: BTreeSet<String>,
+    /// Those that calls came for at this process.
+    #[serde(skip)]
+    called: BTreeSet<String>,
 }
 
 impl Bans {
@@ -36,6 +39,7 @@
             return Err(Refusal::TooManyOut(MOST_OUT));
         }
         self.out.insert(name.to_owned());
+        self.called.insert(name.to_owned());
         Ok(())
     }
 
@@ -43,6 +47,7 @@
     pub fn enable(&mut self, name: &str) -> Verdict {
         self.known(name)?;
         self.out.remove(name);
+        self.called.insert(name.to_owned());
         Ok(())
     }
 
@@ -63,10 +68,23 @@
         self.out.iter().map(String::as_str)
     }
 
-    /// Takes on what another process of this node knows, whose bans are the node's.
-    pub fn inherit(&mut self, older: Bans) {
+    /// Takes on what the older process of this node knows: its bans are the node's, but for those that calls have come
+    /// for here since. Returns what changes: names, and whether each is out now.
+    pub fn inherit(&mut self, older: Bans) -> Vec<(String, bool)> {
         self.listed(older.listed.iter().map(String::as_str));
-        self.out.extend(older.out);
+        let changed: Vec<(String, bool)> = self
+            .out
+            .symmetric_difference(&older.out)
+            .filter(|name| !self.called.contains(*name))
+            .map(|name| (name.clone(), older.out.contains(name)))
+            .collect();
+        for (name, out) in &changed {
+            match out {
+                true => _ = self.out.insert(name.clone()),
+                false => _ = self.out.remove(name),
+            }
+        }
+        changed
     }
 }
 
