--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -465,7 +465,7 @@
 
     /// Puts a job that has nothing out in line. Those that must start soonest come first, behind them those
     /// beyond a quota: their answers are worth little, and must not cost others theirs.
-    fn hold(&mut self, job: Job) {
+    pub(crate) fn hold(&mut self, job: Job) {
         let start_by = job.aim_at.saturating_sub(micros(self.sure_run(&job)));
         self.line.insert((job.over_quota, start_by, job.id));
         self.jobs.insert(job.id, job);
--- a/crates/core/src/heritage.rs
+++ b/crates/core/src/heritage.rs
@@ -44,8 +44,52 @@
     keys: Vec<u64>,
     /// Work sent while cold, which its budget has been spent on.
     cold_sent: Vec<(Micros, f64)>,
-    /// Work that is out there still, s, and its slots.
-    out: (f64, f64),
+}
+
+/// A job that goes from one process of a node to another, with all that was tried for it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MovedJob {
+    class: usize,
+    over_quota: bool,
+    value: f64,
+    first: bool,
+    work: f64,
+    slots: f64,
+    key: Option<u64>,
+    aim_at: Micros,
+    deadline: Micros,
+    attempts: Vec<MovedAttempt>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MovedAttempt {
+    worker: u64,
+    zone: u32,
+    cell: u32,
+    sent: Micros,
+    end: Option<Outcome>,
+    flight: Option<MovedFlight>,
+}
+
+impl MovedJob {
+    /// Its class.
+    pub fn class(&self) -> ClassId {
+        ClassId(self.class)
+    }
+}
+
+/// What is known of an attempt that is out.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MovedFlight {
+    work: f64,
+    slots: f64,
+    accepted: bool,
+    foreseen: f64,
+    started: Option<Micros>,
+    progress: Option<(f64, Micros)>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -67,7 +111,7 @@
 
 impl Dispatcher {
     /// What is known now, for a successor.
-    pub fn learned(&self, now: Micros) -> Learned {
+    pub fn learned(&self) -> Learned {
         let worker = |w: &Worker| LearnedWorker {
             id: w.id.0,
             offset: w.offset,
@@ -80,10 +124,6 @@
             owed: w.owed,
             keys: w.keys.iter().copied().collect(),
             cold_sent: w.cold_sent.iter().copied().take(MOST_SENDS).collect(),
-            out: (
-                w.flights.iter().map(|f| self.remaining(now, w.speed, f) * f.slots).sum(),
-                w.flights.iter().map(|f| f.slots).sum(),
-            ),
         };
         let kind = |k: &Kind| LearnedKind { id: k.id.0, ln_speed: k.pace.ln_speed, lessons: k.pace.lessons };
         let fleet = &self.fleet;
@@ -120,14 +160,116 @@
         learned.keys.iter().for_each(|key| self.fleet.heed_key(Some(*key)));
         for l in learned.workers.iter().take(MOST_WORKERS) {
             if let Some(i) = self.fleet.find(WorkerId(l.id)) {
-                l.teach(now, &mut self.fleet.workers[i], self.settings.rank);
+                l.teach(now, &mut self.fleet.workers[i]);
             }
         }
     }
 }
 
+impl Dispatcher {
+    /// Lets a job go that has no answer yet: nothing of it is known here any more, and nothing is called off.
+    pub fn release(&mut self, job: JobId) -> Option<MovedJob> {
+        let job = self.jobs.get(&job).filter(|j| !j.ended && !j.bound)?.id;
+        let job = self.jobs.remove(&job)?;
+        self.line.retain(|place| place.2 != job.id);
+        let mut attempts = Vec::new();
+        for (a, number) in job.attempts.iter().zip(0..) {
+            let at = self.fleet.find(a.worker);
+            let flight = at.and_then(|i| self.fleet.workers[i].land(job.id, number));
+            attempts.push(MovedAttempt {
+                worker: a.worker.0,
+                zone: a.zone.0,
+                cell: a.cell.0,
+                sent: a.sent,
+                end: a.end,
+                flight: flight.map(|f| MovedFlight {
+                    work: f.work,
+                    slots: f.slots,
+                    accepted: f.accepted,
+                    foreseen: f.foreseen,
+                    started: f.started,
+                    progress: f.progress,
+                }),
+            });
+        }
+        Some(MovedJob {
+            class: job.class,
+            over_quota: job.over_quota,
+            value: job.value,
+            first: job.first,
+            work: job.work,
+            slots: job.slots,
+            key: job.key,
+            aim_at: job.aim_at,
+            deadline: job.deadline,
+            attempts,
+        })
+    }
+
+    /// Takes a job on that another process of this node let go, under a number of this one's. False where it cannot be one.
+    pub fn adopt(&mut self, now: Micros, id: JobId, moved: &MovedJob, out: &mut Vec<Action>) -> bool {
+        let sound = moved.class < self.settings.classes.len()
+            && [moved.work, moved.slots, moved.value].iter().all(|v| v.is_finite() && *v >= 0.0)
+            && moved.attempts.len() <= MAX_ATTEMPTS
+            && !self.jobs.contains_key(&id);
+        if !sound {
+            return false;
+        }
+        let offer = Offer {
+            job: id,
+            class: ClassId(moved.class),
+            tenant: TenantId(0),
+            deadline: moved.deadline,
+            hint: None,
+            slots: moved.slots,
+            key: moved.key,
+            repeat: !moved.first,
+        };
+        let mut job = Job {
+            over_quota: moved.over_quota,
+            value: moved.value,
+            first: moved.first,
+            work: moved.work,
+            slots: moved.slots,
+            aim_at: moved.aim_at,
+            ..Job::new(&offer)
+        };
+        for (a, number) in moved.attempts.iter().zip(0..) {
+            let worker = WorkerId(a.worker);
+            let (zone, cell) = (ZoneId(a.zone), CellId(a.cell));
+            job.attempts.push(Attempt { worker, zone, cell, sent: a.sent, end: a.end });
+            if let (Some(f), Some(i), None) = (&a.flight, self.fleet.find(worker), a.end) {
+                let w = &mut self.fleet.workers[i];
+                job.key.into_iter().for_each(|key| w.heed_key(key));
+                w.flights.push(Flight {
+                    job: id,
+                    attempt: number,
+                    work: positive(f.work, 1e4).unwrap_or(0.0),
+                    slots: positive(f.slots, 64.0).unwrap_or(1.0),
+                    sent: a.sent.min(now),
+                    accepted: f.accepted,
+                    foreseen: positive(f.foreseen, 1e4).unwrap_or(0.0),
+                    started: f.started.map(|at| at.min(now)),
+                    progress: f.progress.map(|(done, at)| (done.clamp(0.0, 1.0), at.min(now))),
+                });
+                (w.surveyed, w.dirty) = (0, true);
+            }
+        }
+        let idle = job.live().next().is_none();
+        match idle {
+            true => self.hold(job),
+            false => self.keep(job),
+        }
+        if idle {
+            self.dispatch(now, out);
+        }
+        self.arm(now, out);
+        true
+    }
+}
+
 impl LearnedWorker {
-    fn teach(&self, now: Micros, w: &mut Worker, from: u32) {
+    fn teach(&self, now: Micros, w: &mut Worker) {
         if w.lessons == 0
             && let Some(offset) = ln(self.offset)
         {
@@ -144,11 +286,6 @@
         let sent = self.cold_sent.iter().filter(|(at, work)| *at <= now && work.is_finite() && *work >= 0.0);
         let own = std::mem::take(&mut w.cold_sent);
         w.cold_sent = sent.take(MOST_SENDS).copied().chain(own).collect();
-        // What the other process has out there is told like another node's.
-        if let (Some(work), Some(slots)) = (positive(self.out.0, 1e4), positive(self.out.1, 64.0)) {
-            w.told.retain(|t| t.from != from);
-            w.told.push(Told { from, work, slots, at: now });
-        }
         (w.surveyed, w.dirty) = (0, true);
     }
 }
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -5,6 +5,8 @@
 use std::fmt;
 use std::hash::Hasher;
 
+use serde::{Deserialize, Serialize};
+
 /// A moment on the embedder's clock, or a span of it, in microseconds.
 pub type Micros = u64;
 
@@ -234,7 +236,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Served.
     Done,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -100,5 +100,5 @@
 mod peers;
 
 pub use dispatcher::Dispatcher;
-pub use heritage::Learned;
+pub use heritage::{Learned, MovedJob};
 pub use interface::*;
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -1104,11 +1104,16 @@
     elder.teach(&workers, 1, 4.0, 100);
     workers[2].started = elder.now;
     elder.tell(Event::Listed { entries: &workers, whole: true });
-    // It spends what a cold worker may get: the only one that is listed gets one job.
+    // It spends what a cold worker may get, by jobs that end at once.
     elder.tell(Event::Listed { entries: &workers[2..], whole: true });
-    assert_eq!(sent(&elder.offer(1, 2, 0.2)), Some(2));
+    let spent = (1..100).take_while(|job| {
+        let goes = sent(&elder.offer(*job, 2, 0.05)).is_some();
+        elder.end(*job, 0, Outcome::Done);
+        goes
+    });
+    assert!((2..99).contains(&spent.count()));
     elder.tell(Event::Listed { entries: &workers, whole: true });
-    let learned = elder.dispatcher.learned(elder.now);
+    let learned = elder.dispatcher.learned();
 
     let successor = |learned: &Learned| {
         let mut node = Node::new(settings(), &workers);
@@ -1119,16 +1124,40 @@
     assert_eq!(sent(&successor(&learned).offer(1, 0, 0.1)), Some(1), "the fast one");
     let mut node = successor(&learned);
     node.tell(Event::Listed { entries: &workers[2..], whole: true });
-    assert_eq!(sent(&node.offer(1, 2, 0.2)), None, "spent by the elder");
+    assert_eq!(sent(&node.offer(1, 2, 0.05)), None, "spent by the elder");
     let mut node = successor(&Learned::default());
     node.tell(Event::Listed { entries: &workers[2..], whole: true });
-    assert_eq!(sent(&node.offer(1, 2, 0.2)), Some(2));
+    assert_eq!(sent(&node.offer(1, 2, 0.05)), Some(2));
     // And the elder sends nothing more there once it has handed over, until it has the node back.
-    elder.now += 2 * SECOND;
-    elder.end(1, 0, Outcome::Done);
     elder.tell(Event::Retired(true));
     elder.tell(Event::Listed { entries: &workers[2..], whole: true });
-    assert_eq!(sent(&elder.offer(2, 2, 0.1)), None);
+    assert_eq!(sent(&elder.pass(2 * SECOND)), None);
+    assert_eq!(sent(&elder.offer(200, 2, 0.05)), None);
     elder.tell(Event::Retired(false));
-    assert_eq!(sent(&elder.pass(SECOND)), Some(2));
+    assert_eq!(sent(&elder.pass(SECOND / 10)), Some(2));
+}
+
+#[test]
+fn a_job_that_moves_keeps_its_attempts_and_their_rules() {
+    let workers = fleet(2);
+    let mut s = settings();
+    s.may_duplicate = false;
+    let mut elder = Node::new(s.clone(), &workers);
+    // One may have run and must not again; one runs; one waits in line, both workers being busy.
+    let first = sent(&elder.offer(1, 2, 0.1)).expect("a worker");
+    elder.start(1, 0);
+    assert_ne!(sent(&elder.offer(2, 0, 0.1)).expect("the other"), first);
+    assert_eq!(sent(&elder.offer(3, 0, 0.01)), None);
+    let mut younger = Node::new(s, &workers);
+    let mut out = Vec::new();
+    for (job, number) in [(1, 11), (2, 12), (3, 13)] {
+        let moved = elder.dispatcher.release(JobId(job)).expect("it is held");
+        assert!(younger.dispatcher.adopt(younger.now, JobId(number), &moved, &mut out));
+    }
+    assert_eq!(sent(&out), None, "what is out there is known");
+    assert!(elder.pass(6 * SECOND).is_empty(), "nothing is known of them any more");
+    assert_eq!(elder.dispatcher.release(JobId(1)), None);
+    // The first one broke off: it may have run. The waiting one goes where there is room now.
+    assert!(failed(&younger.end(11, 0, Outcome::Lost)));
+    assert_eq!(sent(&younger.end(12, 0, Outcome::Done)), Some(1 - first));
 }
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -49,6 +49,8 @@
     Served, "curlewusher_answers" { "kind" = "served" }, "Answers to clients, by kind";
     Deferred, "curlewusher_answers" { "kind" = "deferred" }, "";
     Failed, "curlewusher_answers" { "kind" = "failed" }, "";
+    MovedAway, "curlewusher_jobs_moved" { "direction" = "away" }, "Jobs moved between both processes of this node";
+    MovedHere, "curlewusher_jobs_moved" { "direction" = "here" }, "";
     Callbacks, "curlewusher_callbacks", "Well-formed call-backs of next hops";
     CallbacksIdle, "curlewusher_callbacks_without_effect", "Call-backs that were repeats or came too late";
     Connects, "curlewusher_next_hop_connections", "Connections opened to next hops";
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -10,8 +10,8 @@
 
 use bytes::Bytes;
 use curlewusher::{
-    Action, ClassId, Dispatcher, Event, JobId, Learned, Life, Listing, Micros, Offer, Outcome, TenantId,
-    WorkerId,
+    Action, ClassId, Dispatcher, Event, JobId, Learned, Life, Listing, Micros, MovedJob, Offer, Outcome,
+    TenantId, WorkerId,
 };
 use curlewusher_operation::bans::Bans;
 use curlewusher_operation::call::Verdict;
@@ -104,12 +104,62 @@
 pub trait Carrier {
     type Parcel;
     fn deliver(&self, attempt: DeliveryAttempt<Self::Parcel>);
+    /// Cares for an attempt that a next hop has taken on from another process of this node.
+    fn resume(&self, attempt: DeliveryAttempt<Self::Parcel>);
     /// What is open to that next hop is of no use any more.
     fn forget(&self, to: SocketAddr);
 }
 
+/// A job that goes from one process of this node to another, but for its parcel.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Moved {
+    id: String,
+    taken: Micros,
+    attempts: Vec<MovedDelivery>,
+    job: MovedJob,
+}
+
+impl Moved {
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MovedDelivery {
+    from: String,
+    to: Option<SocketAddr>,
+    /// Taken on by its next hop and not ended.
+    out: bool,
+    share: f64,
+    last: Option<Word>,
+    times_out: Micros,
+}
+
+/// A job that another process has moved here.
+pub struct Adopted<P> {
+    pub moved: Moved,
+    pub parcel: P,
+    pub ticket: Ticket,
+    pub answer: oneshot::Sender<Answer>,
+    /// Whether it is held here.
+    pub held: oneshot::Sender<bool>,
+}
+
+/// Which process a call-back for an id is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Holder {
+    Here,
+    /// It is on its way to the other process.
+    OnItsWay,
+    /// Not this one.
+    Elsewhere,
+}
+
 /// What a next hop tells of a job.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Word {
     Started,
     Running(f64),
@@ -135,14 +185,20 @@
         id: String,
         from: String,
         word: Word,
-        /// Whether a job of that id is in hand, for whoever would look for it elsewhere.
-        held: Option<oneshot::Sender<bool>>,
+        /// Who holds a job of that id, for whoever would look for it elsewhere.
+        holder: Option<oneshot::Sender<Holder>>,
     },
     /// Whether a job of that id is in hand.
     Holds {
         id: String,
         held: oneshot::Sender<bool>,
     },
+    /// A job is to move to the other process; nothing comes back while it cannot.
+    Move(Ticket, oneshot::Sender<(Moved, Rc<P>)>),
+    /// Whether the other process holds it; where it does not it is held here again.
+    MoveEnded(Ticket, bool),
+    /// A job comes from the other process.
+    Adopted(Adopted<P>),
     Accepted(AttemptKey),
     Ended(AttemptKey, Outcome),
     GivenUp(AttemptKey),
@@ -191,6 +247,7 @@
 
 struct Attempt {
     from: Rc<str>,
+    to: Option<SocketAddr>,
     stage: Stage,
     /// The next hop has taken it on.
     accepted: bool,
@@ -230,6 +287,8 @@
     next_job: u64,
     held: HashMap<JobId, Held<C::Parcel>>,
     ids: HashMap<Rc<str>, JobId>,
+    /// Jobs on their way to the other process of this node.
+    leaving: HashMap<JobId, (Moved, Held<C::Parcel>)>,
     hops: HashMap<WorkerId, (Rc<str>, SocketAddr)>,
     /// Next hops that operators have taken out.
     bans: Bans,
@@ -260,6 +319,7 @@
             next_job: 0,
             held: HashMap::new(),
             ids: HashMap::new(),
+            leaving: HashMap::new(),
             hops: HashMap::new(),
             bans: Bans::default(),
             starts: HashMap::new(),
@@ -321,7 +381,7 @@
                 self.obey(Order::Maintain { name, out, verdict });
             }
             Order::Bequeath(estate) => {
-                let learned = Some(self.dispatcher.learned(self.clock.now()));
+                let learned = Some(self.dispatcher.learned());
                 let _ = estate.send(Estate { bans: self.bans.clone(), learned });
             }
             Order::Inherit(estate) => {
@@ -350,14 +410,17 @@
                     self.forget(job);
                 }
             }
-            Notice::Told { id, from, word, held } => {
-                if let Some(held) = held {
+            Notice::Told { id, from, word, holder } => {
+                if let Some(asks) = holder {
                     // Who asks looks elsewhere next, and has ended if it does not listen.
-                    let _ = held.send(self.ids.contains_key(id.as_str()));
+                    let _ = asks.send(self.holder(&id));
                 }
                 self.told(&id, &from, word);
             }
-            Notice::Holds { id, held } => _ = held.send(self.ids.contains_key(id.as_str())),
+            Notice::Holds { id, held } => _ = held.send(self.holder(&id) != Holder::Elsewhere),
+            Notice::Move(ticket, to) => self.let_go(&ticket, to),
+            Notice::MoveEnded(ticket, held) => self.move_ended(&ticket, held),
+            Notice::Adopted(adopted) => self.adopt(adopted),
             Notice::Accepted(key) => {
                 if let Some(attempt) = self.attempt(key) {
                     attempt.accepted = true;
@@ -381,6 +444,109 @@
         }
     }
 
+    fn holder(&self, id: &str) -> Holder {
+        match self.ids.get(id) {
+            Some(job) if self.leaving.contains_key(job) => Holder::OnItsWay,
+            Some(_) => Holder::Here,
+            None => Holder::Elsewhere,
+        }
+    }
+
+    /// Lets a job go to the other process, where all that is out of it has been taken on: until then the answer of its next
+    /// hop is on its way to a connection of this process.
+    fn let_go(&mut self, ticket: &Ticket, to: oneshot::Sender<(Moved, Rc<C::Parcel>)>) {
+        let Some(id) = ticket.0.get() else { return };
+        let settled = |a: &Attempt| a.stage == Stage::Over || a.stage == Stage::Out && a.accepted;
+        let movable =
+            self.held.get(&id).is_some_and(|h| h.answer.is_some() && h.attempts.iter().all(settled));
+        if !movable || to.is_closed() {
+            return;
+        }
+        let (Some(job), Some(held)) = (self.dispatcher.release(id), self.held.remove(&id)) else { return };
+        let delivery = |a: &Attempt| MovedDelivery {
+            from: a.from.to_string(),
+            to: a.to,
+            out: a.stage == Stage::Out,
+            share: a.share,
+            last: a.last.clone(),
+            times_out: a.times_out,
+        };
+        for (a, number) in held.attempts.iter().zip(0..) {
+            self.due.remove(&(a.times_out, Due::TimeOut(AttemptKey { job: id, attempt: number })));
+        }
+        let attempts = held.attempts.iter().map(delivery).collect();
+        let moved = Moved { id: held.id.to_string(), taken: held.taken, attempts, job };
+        debug!(target: DISPATCH, request_id = %held.id, "moves to the other process");
+        let unheard = to.send((moved.clone(), held.parcel.clone())).is_err();
+        self.leaving.insert(id, (moved, held));
+        if unheard {
+            // Its sender side has left in this moment.
+            self.move_ended(ticket, false);
+        }
+    }
+
+    fn move_ended(&mut self, ticket: &Ticket, moved_on: bool) {
+        let Some((id, (moved, held))) = ticket.0.get().and_then(|id| Some((id, self.leaving.remove(&id)?)))
+        else {
+            return;
+        };
+        if moved_on {
+            self.ids.remove(&held.id);
+            return self.counters.add(Counter::MovedAway);
+        }
+        self.held.insert(id, held);
+        for (a, number) in moved.attempts.iter().zip(0..).filter(|(a, _)| a.out) {
+            self.due.insert((a.times_out, Due::TimeOut(AttemptKey { job: id, attempt: number })));
+        }
+        // What was let go a moment ago can be taken on again.
+        self.dispatcher.adopt(self.clock.now(), id, &moved.job, &mut self.actions);
+        self.carry_out();
+    }
+
+    fn adopt(&mut self, adopted: Adopted<C::Parcel>) {
+        let Adopted { moved, parcel, ticket, answer, held } = adopted;
+        let (id, name) = (JobId(self.next_job), Rc::<str>::from(moved.id.as_str()));
+        let now = self.clock.now();
+        let (parcel, mut attempts) = (Rc::new(parcel), Vec::new());
+        if self.ids.contains_key(&name) || !self.dispatcher.adopt(now, id, &moved.job, &mut self.actions) {
+            let _ = held.send(false);
+            return;
+        }
+        self.next_job += 1;
+        ticket.0.set(Some(id));
+        for (a, number) in moved.attempts.into_iter().zip(0..) {
+            let key = AttemptKey { job: id, attempt: number };
+            let mut stage = Stage::Over;
+            let mut give_up = None;
+            if let (true, Some(to)) = (a.out, a.to) {
+                let (asks, asked) = oneshot::channel();
+                (stage, give_up) = (Stage::Out, Some(asks));
+                self.due.insert((a.times_out, Due::TimeOut(key)));
+                let wait = Duration::from_micros(a.times_out.saturating_sub(now));
+                let (id, parcel) = (name.clone(), parcel.clone());
+                self.carrier.resume(DeliveryAttempt { key, id, to, parcel, wait, give_up: asked });
+            }
+            attempts.push(Attempt {
+                from: a.from.into(),
+                to: a.to,
+                stage,
+                accepted: true,
+                share: a.share,
+                last: a.last,
+                give_up,
+                times_out: a.times_out,
+            });
+        }
+        debug!(target: DISPATCH, request_id = %name, "comes from the other process");
+        self.counters.add(Counter::MovedHere);
+        self.ids.insert(name.clone(), id);
+        let class = moved.job.class();
+        let answer = Some(answer);
+        self.held.insert(id, Held { id: name, class, taken: moved.taken, parcel, answer, attempts });
+        let _ = held.send(true);
+        self.carry_out();
+    }
+
     fn take(&mut self, taken: Taken<C::Parcel>) {
         if self.ids.contains_key(&taken.id) {
             // Two jobs of one id could not be told apart in a call-back.
@@ -579,6 +745,7 @@
         let hop = self.hops.get(&worker);
         held.attempts.push(Attempt {
             from: hop.map_or_else(|| "".into(), |hop| hop.0.clone()),
+            to: hop.map(|hop| hop.1),
             stage: Stage::Out,
             accepted: false,
             share: 0.0,
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -45,6 +45,7 @@
 const CLAIM_TIME: Duration = Duration::from_millis(300);
 /// An operator waits behind this for up to 1 s.
 const CALL_TIME: Duration = Duration::from_millis(700);
+const MOVE_TIME: Duration = Duration::from_millis(2000);
 const TAKE_OVER_TIME: Duration = Duration::from_millis(1000);
 /// A process that reads nothing for so long is as good as gone.
 const STALLED: Duration = Duration::from_millis(2000);
@@ -57,6 +58,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// The longest name that a Unix socket can have, in bytes, without its end.
 const LONGEST_SUN_PATH: usize = 107;
+/// Descriptors that have come, in the order of their frames, and the most that wait for theirs.
+type Fds = VecDeque<OwnedFd>;
+const MOST_FDS: usize = 16;
 /// The byte that carries the listener.
 const LEAD: u8 = b'+';
 const PIECE: usize = 8 << 10;
@@ -300,18 +304,18 @@
     stream.async_io(Interest::READABLE, receive).await
 }
 
-/// Sends a descriptor on the lead byte.
-async fn send_lead(stream: &UnixStream, listener: impl AsFd) -> io::Result<()> {
-    let fds = [listener.as_fd()];
+/// Sends a descriptor with the first bytes of these; how many were written.
+async fn send_with(stream: &UnixStream, bytes: &[u8], fd: impl AsFd) -> io::Result<usize> {
+    let fds = [fd.as_fd()];
     let send = || {
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
         let mut control = SendAncillaryBuffer::new(&mut space);
         if !control.push(SendAncillaryMessage::ScmRights(&fds)) {
             return Err(ErrorKind::InvalidInput.into());
         }
-        Ok(sendmsg(stream, &[IoSlice::new(&[LEAD])], &mut control, SendFlags::NOSIGNAL)?)
+        Ok(sendmsg(stream, &[IoSlice::new(bytes)], &mut control, SendFlags::NOSIGNAL)?)
     };
-    stream.async_io(Interest::WRITABLE, send).await.map(drop)
+    stream.async_io(Interest::WRITABLE, send).await
 }
 
 async fn write_all(stream: &UnixStream, mut bytes: Bytes) -> io::Result<()> {
@@ -327,19 +331,22 @@
 }
 
 /// Feeds the next piece that comes, and says whether there was one.
-async fn read_piece(stream: &UnixStream, decoder: &mut Decoder) -> io::Result<bool> {
-    loop {
-        stream.readable().await?;
+async fn read_piece(stream: &UnixStream, decoder: &mut Decoder, fds: &mut Fds) -> io::Result<bool> {
+    let receive = || {
         let mut room = [0; PIECE];
-        match stream.try_read(&mut room) {
-            Ok(came) => {
-                decoder.feed(&room[..came]);
-                return Ok(came > 0);
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut control = RecvAncillaryBuffer::new(&mut space);
+        let came = recvmsg(stream, &mut [IoSliceMut::new(&mut room)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
+        decoder.feed(&room[..came.bytes]);
+        for message in control.drain() {
+            if let RecvAncillaryMessage::ScmRights(came) = message {
+                // A process that sends more than it names is not to use this one's descriptors up.
+                fds.extend(came.take(MOST_FDS.saturating_sub(fds.len())));
             }
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(e) => return Err(e),
         }
-    }
+        Ok(came.bytes > 0)
+    };
+    stream.async_io(Interest::READABLE, receive).await
 }
 
 /// The first frame that comes.
@@ -348,7 +355,7 @@
         if let Some((_, frame)) = decoder.take()? {
             return Ok(frame);
         }
-        if !read_piece(stream, decoder).await.map_err(HandoverError::Gone)? {
+        if !read_piece(stream, decoder, &mut Fds::new()).await.map_err(HandoverError::Gone)? {
             decoder.end()?;
             return Err(HandoverError::gone());
         }
@@ -469,7 +476,7 @@
         listener: impl AsFd,
         heritage: Bytes,
     ) -> Result<(Link, mpsc::Receiver<Asked>), HandoverError> {
-        let sent = timeout(HELLO_TIME, send_lead(&self.stream, listener)).await;
+        let sent = timeout(HELLO_TIME, send_with(&self.stream, &[LEAD], listener)).await;
         sent.map_err(|_| HandoverError::Silent)?.map_err(HandoverError::Gone)?;
         let (link, asked) = Link::start(self.stream, true, self.decoder);
         link.answer(0, Frame::Welcome(bounded(heritage)));
@@ -535,6 +542,15 @@
         /// What is said to it.
         verdict: oneshot::Sender<Verdict>,
     },
+    /// A job that it held, whose attempts go on: whether it is held here, said once it is.
+    Move {
+        /// The job as it was held.
+        job: Bytes,
+        /// Its client's socket.
+        client: OwnedFd,
+        /// Whether it is held.
+        held: oneshot::Sender<bool>,
+    },
     /// A withdrawal that is this process's from now on.
     Withdraw {
         /// The next hop that has not heard it.
@@ -556,7 +572,7 @@
 /// What waits to be written.
 #[derive(Default)]
 struct Unwritten {
-    frames: VecDeque<Bytes>,
+    frames: VecDeque<(Bytes, Option<Rc<OwnedFd>>)>,
     bytes: usize,
 }
 
@@ -679,6 +695,18 @@
         }
     }
 
+    /// Moves a job to the other process, with its client's socket. Whether it is held there; where that is not said within
+    /// 2 s the link is given up, since both might hold it.
+    pub async fn move_job(&self, job: Bytes, client: OwnedFd) -> bool {
+        match self.request_with(Frame::Move(job), None, Some(Rc::new(client)), MOVE_TIME).await {
+            Some(Frame::Moved(held)) => held,
+            _ => {
+                self.close();
+                false
+            }
+        }
+    }
+
     /// Leaves a withdrawal to the other process.
     pub fn withdraw(&self, to: SocketAddr, id: &str) {
         self.tell(&Frame::Withdraw { to, id: id.to_owned() });
@@ -706,12 +734,22 @@
     }
 
     async fn request(&self, frame: Frame, claim: Option<Rc<str>>, within: Duration) -> Option<Frame> {
+        self.request_with(frame, claim, None, within).await
+    }
+
+    async fn request_with(
+        &self,
+        frame: Frame,
+        claim: Option<Rc<str>>,
+        fd: Option<Rc<OwnedFd>>,
+        within: Duration,
+    ) -> Option<Frame> {
         let seq = self.seq();
         let bytes = frame.encode(seq).ok().filter(|_| self.up())?;
         let (answer, from) = oneshot::channel();
         self.0.waiting.borrow_mut().insert(seq, Waiting { answer, claim });
         let _forget = Forget { ends: &self.0, seq };
-        self.push(bytes);
+        self.push(bytes, fd);
         timeout(within, from).await.ok()?.ok()
     }
 
@@ -721,19 +759,19 @@
 
     fn answer(&self, seq: u64, frame: Frame) {
         match frame.encode(seq) {
-            Ok(bytes) => self.push(bytes),
+            Ok(bytes) => self.push(bytes, None),
             Err(problem) => warn!(target: NODE, "the other process is not told: {problem}"),
         }
     }
 
     /// A process that reads too little is as good as gone.
-    fn push(&self, bytes: Bytes) {
+    fn push(&self, bytes: Bytes, fd: Option<Rc<OwnedFd>>) {
         if !self.up() {
             return;
         }
         let mut unwritten = self.0.unwritten.borrow_mut();
         unwritten.bytes += bytes.len();
-        unwritten.frames.push_back(bytes);
+        unwritten.frames.push_back((bytes, fd));
         let full = unwritten.bytes > MOST_UNWRITTEN;
         drop(unwritten);
         if full {
@@ -746,13 +784,20 @@
     async fn write(self) {
         while self.up() {
             let next = self.0.unwritten.borrow().frames.front().cloned();
-            let Some(frame) = next else {
+            let Some((mut frame, fd)) = next else {
                 self.0.written.notify_waiters();
                 self.0.more.notified().await;
                 continue;
             };
             let length = frame.len();
-            if write_all(&self.0.stream, frame).await.is_err() {
+            let written = async {
+                if let Some(fd) = fd {
+                    let sent = timeout(STALLED, send_with(&self.0.stream, &frame, &*fd)).await??;
+                    frame.advance(sent);
+                }
+                write_all(&self.0.stream, frame).await
+            };
+            if written.await.is_err() {
                 return self.close();
             }
             let mut unwritten = self.0.unwritten.borrow_mut();
@@ -764,11 +809,13 @@
     }
 
     async fn read(&self, mut decoder: Decoder, asked: &mpsc::Sender<Asked>) -> Result<(), HandoverError> {
+        // A descriptor comes with the first byte of its frame, so that they are in one order.
+        let mut fds = Fds::new();
         loop {
             while let Some((seq, frame)) = decoder.take()? {
-                self.hear(seq, frame, asked)?;
+                self.hear(seq, frame, &mut fds, asked)?;
             }
-            match read_piece(&self.0.stream, &mut decoder).await {
+            match read_piece(&self.0.stream, &mut decoder, &mut fds).await {
                 Ok(true) => {}
                 Ok(false) => return Ok(decoder.end()?),
                 // It ended before it had read all.
@@ -778,9 +825,15 @@
         }
     }
 
-    fn hear(&self, seq: u64, frame: Frame, asked: &mpsc::Sender<Asked>) -> Result<(), HandoverError> {
+    fn hear(
+        &self,
+        seq: u64,
+        frame: Frame,
+        fds: &mut Fds,
+        asked: &mpsc::Sender<Asked>,
+    ) -> Result<(), HandoverError> {
         match frame {
-            Frame::Yours(_) | Frame::Heard(_) | Frame::Claimed(_) | Frame::Done(_) => {
+            Frame::Yours(_) | Frame::Heard(_) | Frame::Claimed(_) | Frame::Done(_) | Frame::Moved(_) => {
                 self.answered(seq, frame)
             }
             Frame::Word(body) => {
@@ -796,6 +849,10 @@
                 |heritage| Asked::TakeOver { heritage },
                 |_, said| Frame::Yours(bounded(said)),
             ),
+            Frame::Move(job) => {
+                let client = fds.pop_front().ok_or(HandoverError::OutOfTurn)?;
+                self.ask(seq, asked, |held| Asked::Move { job, client, held }, |_, held| Frame::Moved(held));
+            }
             Frame::Withdraw { to, id } => self.pass(asked, Asked::Withdraw { to, id }),
             Frame::GiveBack => self.pass(asked, Asked::GiveBack),
             Frame::Hello { .. } | Frame::Welcome(_) | Frame::TurnedAway(_) => {
--- a/crates/node/src/next_hop.rs
+++ b/crates/node/src/next_hop.rs
@@ -24,7 +24,7 @@
 use tracing::{debug, trace};
 
 use crate::counters::{Counter, Counters};
-use crate::dispatch::{Carrier, DeliveryAttempt, Notice, Queue};
+use crate::dispatch::{AttemptKey, Carrier, DeliveryAttempt, Notice, Queue};
 use crate::logs::NEXT_HOP;
 use crate::places::Places;
 
@@ -135,6 +135,17 @@
         tokio::task::spawn_local(self.clone().carry(attempt));
     }
 
+    fn resume(&self, attempt: DeliveryAttempt<Parcel>) {
+        let hops = self.clone();
+        tokio::task::spawn_local(async move {
+            let DeliveryAttempt { key, id, to, wait, give_up, .. } = attempt;
+            if give_up.await.is_ok() {
+                let _busy = Busy::new(&hops.0.busy);
+                hops.call_off(key, to, &id, Instant::now() + wait).await;
+            }
+        });
+    }
+
     fn forget(&self, to: SocketAddr) {
         self.0.idle.borrow_mut().remove(&to);
     }
@@ -240,13 +251,7 @@
                     None => crossed,
                 };
                 if given_up {
-                    // At its time-out as well it is told once.
-                    let until = until.max(Instant::now() + self.0.tuning.get().withdrawal_ms.millis());
-                    let told = timeout_at(until, self.withdraw(to, &id)).await;
-                    if told.is_err() {
-                        debug!(target: NEXT_HOP, request_id = %id, %to, "never withdrawn");
-                    }
-                    self.report(Notice::GivenUp(key)).await;
+                    self.call_off(key, to, &id, until).await;
                 }
                 return;
             }
@@ -271,6 +276,16 @@
         self.report(Notice::Ended(key, outcome)).await;
     }
 
+    /// Withdraws a job that a next hop has taken on, and says so once that has been heard, or at `until`.
+    async fn call_off(&self, key: AttemptKey, to: SocketAddr, id: &str, until: Instant) {
+        // At its time-out as well it is told once.
+        let until = until.max(Instant::now() + self.0.tuning.get().withdrawal_ms.millis());
+        if timeout_at(until, self.withdraw(to, id)).await.is_err() {
+            debug!(target: NEXT_HOP, request_id = %id, %to, "never withdrawn");
+        }
+        self.report(Notice::GivenUp(key)).await;
+    }
+
     /// Tells a next hop that a job it has taken on is not wanted any more; returns once that has been heard. One that
     /// has not heard it goes on with the job, and another attempt beside that would be a second copy.
     async fn withdraw(&self, to: SocketAddr, id: &str) {
--- a/crates/node/src/places.rs
+++ b/crates/node/src/places.rs
@@ -46,6 +46,11 @@
         self.room.clone().acquire_owned().await.ok()
     }
 
+    /// A place that is free now.
+    pub fn try_take(&self) -> Option<OwnedSemaphorePermit> {
+        self.room.clone().try_acquire_owned().ok()
+    }
+
     /// Uses half of the places or all. Those in use are given up as they come free; `make_way` asks for one.
     pub fn share(&self, half: bool, make_way: impl Fn()) {
         let wanted = if half { self.half } else { self.all };
--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -7,12 +7,13 @@
 use std::future::Future;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
 use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use curlewusher::{ClassId, Effect, number_of};
 use curlewusher_operation::succession::{Route, route};
 use curlewusher_settings::Site;
@@ -24,9 +25,9 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::OwnedPermit;
 use tokio::sync::{Notify, oneshot, watch};
@@ -35,7 +36,7 @@
 use tracing::{debug, warn};
 
 use crate::counters::{Counter, Counters};
-use crate::dispatch::{Answer, Clock, Notice, Queue, Taken, Ticket, Word};
+use crate::dispatch::{Adopted, Answer, Clock, Holder, Moved, Notice, Queue, Taken, Ticket, Word};
 use crate::handover::{Heard, Peer};
 use crate::lifecycle::Lifecycle;
 use crate::logs::SENDER_SIDE;
@@ -72,6 +73,8 @@
 const YOUNG: Duration = Duration::from_millis(50);
 const SETTLED: Duration = Duration::from_millis(200);
 const SLOW: Duration = Duration::from_millis(500);
+/// A job that could not move to the other process is tried again after this.
+const MOVE_AGAIN: Duration = Duration::from_millis(20);
 /// Answers must be written and connections closed within this at the end.
 const CLOSE_TIME: Duration = Duration::from_millis(1000);
 
@@ -105,6 +108,10 @@
     close: Notify,
     /// Who waits to read what follows a request that is being answered.
     follows: RefCell<Option<Waker>>,
+    /// What its connection reads from, while there is one.
+    inlet: RefCell<std::rc::Weak<RefCell<Inlet>>>,
+    /// The other process of this node has its job and its client: it ends here without a word.
+    moved: Cell<bool>,
 }
 
 impl Caller {
@@ -116,6 +123,13 @@
         }
     }
 
+    /// A copy of its socket; none where more than the request has come on it, or it cannot be copied.
+    fn copy(&self) -> Option<OwnedFd> {
+        let inlet = self.inlet.borrow().upgrade()?;
+        let inlet = inlet.borrow();
+        (inlet.held.is_empty() && !self.last.get()).then(|| inlet.stream.as_fd().try_clone_to_owned().ok())?
+    }
+
     /// Closes it for good order: between requests that does no harm.
     fn end(&self) {
         self.cut.set(self.stage.get() < Stage::Idle);
@@ -214,9 +228,12 @@
     }
 }
 
-impl AsyncRead for Inlet {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
+/// What hyper is given to read and write: the inlet, which its caller can look at as well.
+struct Door(Rc<RefCell<Inlet>>);
+
+impl Inlet {
+    fn poll_read(&mut self, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let this = self;
         loop {
             if this.pass > 0 && !this.held.is_empty() {
                 let most = usize::try_from(this.pass).unwrap_or(usize::MAX);
@@ -265,9 +282,15 @@
     }
 }
 
-impl AsyncWrite for Inlet {
+impl AsyncRead for Door {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        self.0.borrow_mut().poll_read(cx, out)
+    }
+}
+
+impl AsyncWrite for Door {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+        Pin::new(&mut self.0.borrow_mut().stream).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
@@ -275,19 +298,19 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+        Pin::new(&mut self.0.borrow_mut().stream).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.0.borrow().stream.is_write_vectored()
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+        Pin::new(&mut self.0.borrow_mut().stream).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+        Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(cx)
     }
 }
 
@@ -306,8 +329,9 @@
     answered: Notify,
     /// Whether new connections are this process's to take.
     accepts: watch::Sender<bool>,
-    /// The other process of this node, while there is one.
+    /// The other process of this node, while there is one, and whether what is in hand is to move there.
     peer: Peer,
+    moves: watch::Sender<bool>,
 }
 
 /// The sender side of the node; one more for each connection, which is then its caller.
@@ -472,6 +496,7 @@
             answered: Notify::new(),
             accepts: watch::Sender::new(false),
             peer,
+            moves: watch::Sender::new(false),
         });
         SenderSide { shared, caller: None }
     }
@@ -509,6 +534,11 @@
         self.shared.accepts.send_replace(accepts);
     }
 
+    /// Whether jobs in hand are to move to the other process of this node.
+    pub fn moves(&self, moves: bool) {
+        self.shared.moves.send_replace(moves);
+    }
+
     /// Uses half of its places or all.
     pub fn share(&self, half: bool) {
         self.shared.room.share(half, || self.make_way());
@@ -550,6 +580,8 @@
                         last: Cell::new(false),
                         close: Notify::new(),
                         follows: RefCell::default(),
+                        inlet: RefCell::default(),
+                        moved: Cell::new(false),
                     });
                     self.shared.callers.borrow_mut().push(Rc::downgrade(&caller));
                     let serve =
@@ -598,25 +630,28 @@
         // Without it an answer could wait for the far end's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
         let Some(caller) = self.caller.clone() else { return };
-        let inlet = Inlet {
+        let inlet = Rc::new(RefCell::new(Inlet {
             stream,
             caller: caller.clone(),
             held: BytesMut::new(),
             pass: 0,
             counters: self.shared.counters.clone(),
-        };
+        }));
+        *caller.inlet.borrow_mut() = Rc::downgrade(&inlet);
         let connection = http1::Builder::new()
             // Times are kept by `Caller`: a head's begins with its first byte.
             .header_read_timeout(None)
             .max_buf_size(LONGEST_HEAD)
-            .serve_connection(TokioIo::new(inlet), TowerToHyperService::new(self));
+            .serve_connection(TokioIo::new(Door(inlet)), TowerToHyperService::new(self));
         let mut connection = pin!(connection);
         loop {
             tokio::select! {
                 // How it ended makes no difference here: a job that it carried says so by its drop.
                 _ = connection.as_mut() => return,
                 // One that is cut ends by what the inlet then says, when it is next polled.
-                () = caller.close.notified() => if !caller.cut.get() {
+                () = caller.close.notified() => if caller.moved.get() {
+                    return;
+                } else if !caller.cut.get() {
                     connection.as_mut().graceful_shutdown();
                 }
             }
@@ -741,31 +776,113 @@
         }
         let body = self.body(request.into_body()).await?;
         let (id, from, word) = Callback::read(&body).map_err(bad)?;
-        let (held, holds) = self
-            .shared
-            .peer
-            .link()
-            .map(|link| (link, oneshot::channel()))
-            .map_or((None, None), |(link, (held, holds))| (Some(held), Some((link, holds))));
-        if self.shared.queue.send(Notice::Told { id, from, word, held }).await.is_err() {
+        let (holder, asked) = match self.shared.peer.link() {
+            Some(link) => {
+                let (holder, holds) = oneshot::channel();
+                (Some(holder), Some((link, holds)))
+            }
+            None => (None, None),
+        };
+        if self.shared.queue.send(Notice::Told { id, from, word, holder }).await.is_err() {
             return Err((StatusCode::SERVICE_UNAVAILABLE, "this node has ended".into()));
         }
-        if let Some((link, holds)) = holds
-            && route(holds.await.unwrap_or(false), link.up()) == Route::PassOn
-            && link.word(body).await == Heard::Unheard
-        {
-            // The other process may hold its job and has not heard it: the next hop is to say it again.
-            return Err((StatusCode::SERVICE_UNAVAILABLE, "not heard; say it again".into()));
+        let heard = match asked {
+            Some((link, holds)) => match holds.await {
+                Ok(Holder::OnItsWay) => false,
+                Ok(holder) if route(holder == Holder::Here, link.up()) == Route::PassOn => {
+                    link.word(body).await != Heard::Unheard
+                }
+                _ => true,
+            },
+            None => true,
+        };
+        if heard {
+            return Ok(reply(StatusCode::NO_CONTENT, ""));
         }
-        Ok(reply(StatusCode::NO_CONTENT, ""))
+        // The other process may hold its job and has not heard it: the next hop is to say it again.
+        Ok(reply(StatusCode::SERVICE_UNAVAILABLE, "not heard; say it again\n"))
     }
 
-    /// A call-back that came to the other process of this node. Whether a job here is meant.
-    pub async fn hear(&self, body: Bytes) -> bool {
-        let Ok((id, from, word)) = Callback::read(&body) else { return false };
-        let (held, holds) = oneshot::channel();
-        let told = Notice::Told { id, from, word, held: Some(held) };
-        self.shared.queue.send(told).await.is_ok() && holds.await.unwrap_or(false)
+    /// A call-back that came to the other process of this node. Whether a job here is meant; nothing is said where that
+    /// is about to change, and the call-back is to be repeated.
+    pub async fn hear(&self, body: Bytes) -> Option<bool> {
+        let Ok((id, from, word)) = Callback::read(&body) else { return Some(false) };
+        let (holder, holds) = oneshot::channel();
+        let told = Notice::Told { id, from, word, holder: Some(holder) };
+        self.shared.queue.send(told).await.ok()?;
+        match holds.await.ok()? {
+            Holder::Here => Some(true),
+            Holder::Elsewhere => Some(false),
+            Holder::OnItsWay => None,
+        }
+    }
+
+    /// Returns once jobs in hand are to move, after a pause.
+    async fn time_to_move(&self, pause: Duration) {
+        sleep(pause).await;
+        // The sender is this object's own.
+        let _ = self.shared.moves.subscribe().wait_for(|moves| *moves).await;
+    }
+
+    /// Moves a job to the other process of this node, with a copy of its client's socket. Whether it is held there.
+    async fn move_on(&self, ticket: &Ticket, client: Option<OwnedFd>) -> bool {
+        let (Some(link), Some(client)) = (self.shared.peer.link(), client) else { return false };
+        let (queue, ticket) = (self.shared.queue.clone(), ticket.clone());
+        // A task of its own: a client that leaves now must not leave the job between both.
+        let moving = spawn_local(async move {
+            let (to, let_go) = oneshot::channel();
+            queue.send(Notice::Move(ticket.clone(), to)).await.ok()?;
+            let (moved, parcel) = let_go.await.ok()?;
+            let held = match record(&moved, &parcel) {
+                Some(record) => link.move_job(record, client).await,
+                None => false,
+            };
+            queue.send(Notice::MoveEnded(ticket, held)).await.ok()?;
+            Some(held)
+        });
+        moving.await.ok().flatten().unwrap_or(false)
+    }
+
+    /// Takes a job on that the other process of this node has moved here, and answers its client.
+    pub async fn adopt(self, job: Bytes, client: OwnedFd, held: oneshot::Sender<bool>) {
+        let stream = std::net::TcpStream::from(client);
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        // Unanswered, it stays where it was.
+        let (Some((moved, parcel)), Ok(stream), Some(_place)) =
+            (read_record(&job), stream, self.shared.room.try_take())
+        else {
+            let _ = held.send(false);
+            return;
+        };
+        let ticket = Ticket::default();
+        let Ok(place_for_gone) = self.shared.queue.clone().reserve_owned().await else { return };
+        let (answer, mut answered) = oneshot::channel();
+        let adopted = Adopted { moved, parcel, ticket: ticket.clone(), answer, held };
+        if self.shared.queue.send(Notice::Adopted(adopted)).await.is_err() {
+            return;
+        }
+        self.shared.open.set(self.shared.open.get() + 1);
+        let mut open = OpenJob { gone: Some((place_for_gone, ticket.clone())), shared: self.shared.clone() };
+        let mut pause = Duration::ZERO;
+        let answer = loop {
+            tokio::select! {
+                biased;
+                answer = &mut answered => break answer,
+                () = left(&stream) => return,
+                () = self.time_to_move(pause) => {
+                    pause = MOVE_AGAIN;
+                    if self.move_on(&ticket, stream.as_fd().try_clone_to_owned().ok()).await {
+                        open.gone = None;
+                        return;
+                    }
+                }
+            }
+        };
+        open.gone = None;
+        if let Ok(answer) = answer {
+            let reply = answer_to(answer).unwrap_or_else(|(status, why)| reply(status, why + "\n"));
+            let _ = timeout(CLOSE_TIME, write_reply(stream, reply)).await;
+        }
     }
 
     /// Whether a job of that id is in hand.
@@ -822,7 +939,6 @@
             return Ok(deferred(shared.tuning.get().crowded_retry_ms.millis()));
         }
         let ended = || (StatusCode::BAD_GATEWAY, "this node has ended".to_owned());
-        let duplicate = || (StatusCode::CONFLICT, "a job of this x-request-id is in hand".to_owned());
         // While another process of this node runs, a job of one id must not be in hand at both.
         let claim = match shared.peer.link() {
             Some(link) => Some(link.claim(&id).await.ok_or_else(duplicate)?),
@@ -832,7 +948,7 @@
         let place_for_gone = shared.queue.clone().reserve_owned().await.map_err(|_| ended())?;
         shared.open.set(shared.open.get() + 1);
         let mut open = OpenJob { gone: Some((place_for_gone, ticket.clone())), shared: shared.clone() };
-        let (answer, answered) = oneshot::channel();
+        let (answer, mut answered) = oneshot::channel();
         let taken = Taken {
             id,
             class: ClassId(place),
@@ -842,21 +958,121 @@
             key: Some(subject),
             repeat,
             parcel,
-            ticket,
+            ticket: ticket.clone(),
             answer,
         };
         shared.queue.send(Notice::Taken(taken)).await.map_err(|_| ended())?;
         // From here on the dispatch task knows the id.
         drop(claim);
-        let answer = answered.await.map_err(|_| ended())?;
+        let mut pause = Duration::ZERO;
+        let answer = loop {
+            tokio::select! {
+                biased;
+                answer = &mut answered => break answer.map_err(|_| ended())?,
+                () = self.time_to_move(pause) => {
+                    pause = MOVE_AGAIN;
+                    let client = self.caller.as_ref().and_then(|caller| caller.copy());
+                    if let Some(caller) = self.caller.as_ref()
+                        && self.move_on(&ticket, client).await
+                    {
+                        open.gone = None;
+                        caller.moved.set(true);
+                        caller.close.notify_one();
+                        // Its connection is dropped now, and this with it.
+                        std::future::pending::<()>().await;
+                    }
+                }
+            }
+        };
         open.gone = None;
-        Ok(match answer {
-            Answer::Served(result) => reply(StatusCode::OK, result),
-            Answer::Defer { after } => deferred(after),
-            Answer::Failed => reply(StatusCode::BAD_GATEWAY, "failed: it may have run\n"),
-            Answer::Duplicate => return Err(duplicate()),
-        })
+        answer_to(answer)
+    }
+}
+
+fn answer_to(answer: Answer) -> Result<Reply, Malformed> {
+    Ok(match answer {
+        Answer::Served(result) => reply(StatusCode::OK, result),
+        Answer::Defer { after } => deferred(after),
+        Answer::Failed => reply(StatusCode::BAD_GATEWAY, "failed: it may have run\n"),
+        Answer::Duplicate => return Err(duplicate()),
+    })
+}
+
+fn duplicate() -> Malformed {
+    (StatusCode::CONFLICT, "a job of this x-request-id is in hand".into())
+}
+
+/// What goes to the other process with a job, but for the request's body.
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Record {
+    moved: Moved,
+    method: String,
+    path: String,
+    key: Option<String>,
+    content_type: Option<String>,
+}
+
+/// A job and its request as bytes: a length, the record, and the body as it came. None where a header is no text.
+fn record(moved: &Moved, parcel: &Parcel) -> Option<Bytes> {
+    let text = |value: &Option<HeaderValue>| match value {
+        Some(value) => value.to_str().ok().map(|text| Some(text.to_owned())),
+        None => Some(None),
+    };
+    let record = Record {
+        moved: moved.clone(),
+        method: parcel.method.to_string(),
+        path: parcel.path.to_string(),
+        key: text(&parcel.key)?,
+        content_type: text(&parcel.content_type)?,
+    };
+    let record = serde_json::to_vec(&record).ok()?;
+    let mut bytes = BytesMut::with_capacity(4 + record.len() + parcel.body.len());
+    bytes.put_u32(u32::try_from(record.len()).ok()?);
+    bytes.put_slice(&record);
+    bytes.put_slice(&parcel.body);
+    Some(bytes.freeze())
+}
+
+fn read_record(bytes: &Bytes) -> Option<(Moved, Parcel)> {
+    let mut body = bytes.clone();
+    let length = body.try_get_u32().ok()? as usize;
+    let record = (length <= body.len()).then(|| body.split_to(length))?;
+    let Record { moved, method, path, key, content_type } = serde_json::from_slice(&record).ok()?;
+    let header = |text: Option<String>| match text {
+        Some(text) => HeaderValue::from_str(&text).ok().map(Some),
+        None => Some(None),
+    };
+    let parcel = Parcel {
+        method: method.parse().ok()?,
+        path: path.parse().ok()?,
+        id: HeaderValue::from_str(moved.id()).ok()?,
+        key: header(key)?,
+        content_type: header(content_type)?,
+        body,
+    };
+    Some((moved, parcel))
+}
+
+/// Returns once the far end has closed. What it sends meanwhile is left unread.
+async fn left(stream: &TcpStream) {
+    if stream.peek(&mut [0]).await.is_ok_and(|came| came > 0) {
+        std::future::pending().await
+    }
+}
+
+/// The answer to a job that came with its client's socket, after which that is closed.
+async fn write_reply(mut stream: TcpStream, reply: Reply) -> io::Result<()> {
+    let (parts, body) = reply.into_parts();
+    let Ok(body) = body.collect().await;
+    let body = body.to_bytes();
+    let mut head = format!("HTTP/1.1 {}\r\n", parts.status);
+    for (name, value) in &parts.headers {
+        head += &format!("{name}: {}\r\n", value.to_str().unwrap_or_default());
     }
+    head += &format!("content-length: {}\r\nconnection: close\r\n\r\n", body.len());
+    stream.write_all(&[head.as_bytes(), &body].concat()).await?;
+    stream.shutdown().await
 }
 
 impl tower::Service<Request<Incoming>> for SenderSide {
--- a/crates/node/src/upgrade.rs
+++ b/crates/node/src/upgrade.rs
@@ -238,6 +238,7 @@
     }
 
     fn link(&mut self, link: Option<(Link, mpsc::Receiver<Asked>)>) {
+        self.parts.sender_side.moves(false);
         let (link, asked) = link.unzip();
         self.parts.operations.peer.set(link);
         self.asked = asked;
@@ -318,7 +319,12 @@
         match asked {
             Asked::Word { body, heard } => {
                 let sender_side = self.parts.sender_side.clone();
-                spawn_local(async move { heard.send(sender_side.hear(body).await) });
+                spawn_local(async move {
+                    // Unanswered, it is repeated.
+                    if let Some(owned) = sender_side.hear(body).await {
+                        let _ = heard.send(owned);
+                    }
+                });
             }
             Asked::Claim { id, free } => {
                 let sender_side = self.parts.sender_side.clone();
@@ -328,12 +334,18 @@
                 let operations = self.parts.operations.clone();
                 spawn_local(async move { verdict.send(operations.follow(&call).await) });
             }
+            Asked::Move { job, client, held } => {
+                spawn_local(self.parts.sender_side.clone().adopt(job, client, held));
+            }
             Asked::Withdraw { to, id } => self.parts.next_hops.take_over_withdrawal(to, id),
             Asked::TakeOver { heritage } => {
                 self.heir = Some(heritage);
                 return self.succession.handle(Event::TakeOverAsked);
             }
-            Asked::GiveBack => return self.succession.handle(Event::GivenBack),
+            Asked::GiveBack => {
+                self.parts.sender_side.moves(false);
+                return self.succession.handle(Event::GivenBack);
+            }
             Asked::Lost => {
                 self.link(None);
                 if let Some(heritage) = self.learned.take() {
@@ -368,8 +380,12 @@
                     if let Some(heir) = self.heir.take() {
                         let _ = heir.send(heritage);
                     }
+                    self.parts.sender_side.moves(true);
+                }
+                Deed::GiveBack => {
+                    _ = self.parts.operations.peer.link().map(|link| link.give_back());
+                    self.parts.sender_side.moves(true);
                 }
-                Deed::GiveBack => _ = self.parts.operations.peer.link().map(|link| link.give_back()),
                 Deed::LetGo => {
                     _ = self.parts.operations.peer.link().map(|link| link.close());
                     self.link(None);
--- a/crates/operation/src/frame.rs
+++ b/crates/operation/src/frame.rs
@@ -20,7 +20,7 @@
 const HEADER: usize = 4 + 1 + 1 + 8 + 4 + 4;
 /// No record of what was learned is longer, in bytes.
 pub const LONGEST_HERITAGE: usize = 4 << 20;
-/// No other payload is longer, in bytes: a call-back's body is the longest that is sent.
+/// No other payload is longer, in bytes: a request with its body is the longest that is sent.
 pub const LONGEST_OTHER: usize = 128 << 10;
 
 /// Why a process that asks to be the successor is turned away.
@@ -72,6 +72,10 @@
     Call(Call),
     /// What the other process says to the call.
     Done(Verdict),
+    /// A job that the sender held, with its client's socket beside the bytes; answered by `Moved`.
+    Move(Bytes),
+    /// Whether the receiver holds it now.
+    Moved(bool),
     /// A next hop that has not yet heard of a withdrawal, which is the receiver's from now on; has no answer.
     Withdraw {
         /// The next hop.
@@ -148,16 +152,20 @@
             Frame::Call(_) => 11,
             Frame::Done(_) => 12,
             Frame::Withdraw { .. } => 13,
+            Frame::Move(_) => 14,
+            Frame::Moved(_) => 15,
         }
     }
 
     fn payload(&self) -> Bytes {
         match self {
             Frame::Hello { node, listen } => json(&(node, listen)),
-            Frame::Welcome(bytes) | Frame::Yours(bytes) | Frame::Word(bytes) => bytes.clone(),
+            Frame::Welcome(bytes) | Frame::Yours(bytes) | Frame::Word(bytes) | Frame::Move(bytes) => {
+                bytes.clone()
+            }
             Frame::TurnedAway(why) => json(why),
             Frame::TakeOver | Frame::GiveBack => Bytes::new(),
-            Frame::Heard(yes) | Frame::Claimed(yes) => json(yes),
+            Frame::Heard(yes) | Frame::Claimed(yes) | Frame::Moved(yes) => json(yes),
             Frame::Claim(id) => Bytes::copy_from_slice(id.as_bytes()),
             // As an operator would write it: it is read again by the same rules.
             Frame::Call(call) => call.to_string().into(),
@@ -181,6 +189,8 @@
             11 => Frame::Call(Call::read(&payload).ok()?),
             12 => Frame::Done(from_json(&payload)?),
             13 => from_json(&payload).map(|(to, id)| Frame::Withdraw { to, id })?,
+            14 => Frame::Move(payload),
+            15 => Frame::Moved(from_json(&payload)?),
             _ => return None,
         })
     }
@@ -303,6 +313,8 @@
             bytes().prop_map(Frame::Yours),
             Just(Frame::GiveBack),
             bytes().prop_map(Frame::Word),
+            bytes().prop_map(Frame::Move),
+            any::<bool>().prop_map(Frame::Moved),
             any::<bool>().prop_map(Frame::Heard),
             ".{0,40}".prop_map(Frame::Claim),
             any::<bool>().prop_map(Frame::Claimed),
