--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -187,7 +187,8 @@
     }
 }
 
-fn name_of(worker: WorkerNo) -> String {
+/// A worker's name on discovery's list.
+pub fn name_of(worker: WorkerNo) -> String {
     format!("w-{worker:05}")
 }
 
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -1,5 +1,5 @@
-//! Owns the four rules, and finds from what the stand-ins saw where a node broke one. It must never share code with the
-//! node, nor believe it.
+//! Owns the four rules on jobs, and finds from what the stand-ins saw where a node broke one; a node may be two processes.
+//! It must never share code with the node, nor believe it.
 
 use std::collections::HashMap;
 use std::fmt;
@@ -7,6 +7,7 @@
 use curlewusher_model::Micros;
 use serde::Serialize;
 
+use crate::daily;
 use crate::record::{Missing, Record, What};
 
 /// What a class allows.
@@ -31,6 +32,8 @@
     /// What was taken later than this after SIGTERM may be lost.
     pub drain_grace: Micros,
     pub fall_window: Micros,
+    /// What discovery tells binds the newer process of an upgrade so long after its first yes.
+    pub newer_learns: Micros,
 }
 
 /// A rule.
@@ -41,6 +44,16 @@
     OneEffect,
     QuietDrain,
     GentleStart,
+    /// Operators' calls are answered rightly and in time.
+    Console,
+    /// Clients leave a node that is drained, and find it again afterwards.
+    NodeDrain,
+    /// A worker that is called out gets nothing, and is used again once it is called back.
+    Maintenance,
+    /// An upgrade harms two jobs at the most.
+    Upgrade,
+    /// All processes of a node together keep within the limits of one.
+    Size,
 }
 
 /// A broken rule.
@@ -74,7 +87,7 @@
     class: usize,
     node: usize,
     answers: usize,
-    missing: Option<Missing>,
+    missing: Option<(Micros, Missing)>,
     attempts: Vec<Attempt>,
 }
 
@@ -84,6 +97,12 @@
     work_s: f64,
 }
 
+struct Window {
+    began: Micros,
+    ready: Option<Micros>,
+    ended: Option<Micros>,
+}
+
 #[derive(Default)]
 struct Judge<'a> {
     tries: HashMap<&'a str, Try>,
@@ -94,6 +113,8 @@
     starts: HashMap<usize, Micros>,
     ends: HashMap<usize, Vec<(Micros, bool)>>,
     sigterms: HashMap<usize, Vec<Micros>>,
+    /// By node: upgrades, from their begin, over the first yes, to their end.
+    upgrades: HashMap<usize, Vec<Window>>,
     found: Vec<(Rule, Micros, String, Option<&'a str>)>,
 }
 
@@ -108,11 +129,9 @@
         Some(id) => tell(records, id),
         None => records.iter().filter(|r| r.at.abs_diff(at) < 2_000_000).filter_map(fleet_line).collect(),
     };
-    judge
-        .found
-        .into_iter()
-        .map(|(rule, at, words, id)| Breach { rule, at, words, story: story(id, at) })
-        .collect()
+    let own =
+        judge.found.into_iter().map(|(rule, at, words, id)| Breach { rule, at, words, story: story(id, at) });
+    own.chain(daily::look(records, rules).0).collect()
 }
 
 impl<'a> Judge<'a> {
@@ -145,7 +164,7 @@
             What::Answered { id, status, good } => self.answered(at, id, *status, *good, rules),
             What::Unanswered { id, why } => {
                 if let Some(one) = self.tries.get_mut(id.as_str()) {
-                    one.missing = Some(*why);
+                    one.missing = Some((at, *why));
                 }
             }
             What::Arrived { attempt, id, node, worker, bay, work_s, head_us } => {
@@ -153,6 +172,7 @@
                 self.arrivals.entry(*worker).or_default().push(Arrival { at, node: *node, work_s: *work_s });
                 self.arrived(at, *attempt, id, *bay, rules);
                 let since = self.told.get(&(*node, *worker)).and_then(|(since, _)| *since);
+                let since = since.map(|since| self.binds(*node, since, rules));
                 if since.is_some_and(|since| *head_us > since + rules.stop_within + rules.slack) {
                     let after = head_us.saturating_sub(since.unwrap_or_default()) / 1000;
                     let words = format!(
@@ -177,11 +197,52 @@
                 // Its next process has been told nothing.
                 self.told.retain(|(of, _), _| of != node);
             }
+            // The node goes on; what the process that was killed had is lost with it.
+            What::ProcessGone { node, killed: true, .. } => {
+                self.ends.entry(*node).or_default().push((at, true));
+            }
+            What::UpgradeBegan { node } => {
+                let window = Window { began: at, ready: None, ended: None };
+                self.upgrades.entry(*node).or_default().push(window);
+            }
+            What::NewerReady { node } => {
+                self.upgrade(*node).into_iter().for_each(|window| window.ready = Some(at));
+            }
+            What::UpgradeEnded { node } => {
+                self.upgrade(*node).into_iter().for_each(|window| window.ended = Some(at));
+            }
             What::NodeToldToEnd { node } => self.sigterms.entry(*node).or_default().push(at),
             What::TakenOn { .. } | What::Started { .. } | What::NodeReady { .. } | What::Fault { .. } => {}
+            What::Said { .. } | What::Called { .. } | What::Standing { .. } | What::ProcessGone { .. } => {}
+        }
+    }
+
+    fn upgrade(&mut self, node: usize) -> Option<&mut Window> {
+        self.upgrades.get_mut(&node)?.last_mut()
+    }
+
+    /// From when a node is bound by what it was told: a newer process has 2 s from its first yes.
+    fn binds(&self, node: usize, told: Micros, rules: &Rules) -> Micros {
+        let Some(last) = self.upgrades.get(&node).and_then(|all| all.last()) else { return told };
+        if told < last.began {
+            return told;
+        }
+        match (last.ready, last.ended) {
+            (Some(ready), _) => told.max(ready + rules.newer_learns),
+            (None, Some(_)) => told,
+            (None, None) => Micros::MAX / 2,
         }
     }
 
+    /// Whether a try met a connection that a node in an upgrade reset unread: harm, which is counted elsewhere, and no loss.
+    fn harmed(&self, one: &Try) -> bool {
+        let Some((at, Missing::Reset)) = one.missing else { return false };
+        let within = |window: &Window| {
+            window.began <= at && window.ended.is_none_or(|ended| at <= ended + daily::AFTERMATH)
+        };
+        one.attempts.is_empty() && self.upgrades.get(&one.node).into_iter().flatten().any(within)
+    }
+
     fn answered(&mut self, at: Micros, id: &'a str, status: u16, good: bool, rules: &Rules) {
         let Some(one) = self.tries.get_mut(id) else { return };
         one.answers += 1;
@@ -251,7 +312,8 @@
     fn close(&mut self, rules: &Rules) {
         let mut missing = Vec::new();
         for (id, one) in &self.tries {
-            if one.answers > 0 || one.missing == Some(Missing::Unreachable) {
+            let reached = !matches!(one.missing, Some((_, Missing::Unreachable | Missing::NoNode)));
+            if one.answers > 0 || !reached || self.harmed(one) {
                 continue;
             }
             let until = one.asked + one.give_up + rules.slack;
@@ -262,7 +324,7 @@
                 *killed || told.is_some_and(|told| one.asked > told + rules.drain_grace)
             });
             if !lost {
-                missing.push((one.asked, *id, one.node, one.missing));
+                missing.push((one.asked, *id, one.node, one.missing.map(|(_, why)| why)));
             }
         }
         // A map's order is not the same in every run.
@@ -331,7 +393,14 @@
 
     fn rules() -> Rules {
         let classes = vec![Repeats::Safe, Repeats::Keyed { window: 40_000_000 }, Repeats::Unsafe];
-        Rules { classes, slack: 50_000, stop_within: 750_000, drain_grace: 700_000, fall_window: 2_000_000 }
+        Rules {
+            classes,
+            slack: 50_000,
+            stop_within: 750_000,
+            drain_grace: 700_000,
+            fall_window: 2_000_000,
+            newer_learns: 2_000_000,
+        }
     }
 
     fn asked(at: Micros, class: usize) -> (Micros, What) {
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -3,58 +3,109 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
 use curlewusher_model::plan::Planned;
 use curlewusher_model::{Micros, span};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, StatusCode};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep, sleep_until, timeout};
 
 use crate::fleet::{NodePlaces, Tries, result_of};
-use crate::record::{Log, Missing, What};
+use crate::links::Links;
+use crate::nodes::asked;
+use crate::record::{Log, Missing, Ready, What};
 use crate::scenario::{ClassRepeats, Scenario};
 
 /// A client waits a little beyond its time, to see how late a late answer is.
 const PATIENCE: Duration = Duration::from_millis(500);
 /// The longest advice that a client follows, s.
 const LONGEST_ADVICE: f64 = 2.0;
-const LONGEST_ANSWER: usize = 1 << 20;
+/// The front asks every node so often.
+const PROBES: Duration = Duration::from_millis(100);
+/// After the first no, new connections still come for this, microseconds; where nothing is said, for longer: one probe
+/// that is lost is not the end of a node.
+const AFTER_NO: Micros = 200_000;
+const AFTER_SILENCE: Micros = 2_000_000;
 
-/// Spreads clients over the nodes that it holds to be well.
+/// What every job bears.
+const BODY: &str = "interval=40-55";
+
+/// Spreads clients over the nodes that say that they are ready.
 pub struct Front {
-    admitted: Vec<AtomicBool>,
+    /// From when each takes no new connections.
+    closes: Vec<AtomicU64>,
     next: AtomicUsize,
     places: NodePlaces,
+    pub links: Links,
+    log: Log,
+}
+
+/// Where a try goes.
+struct Way {
+    node: usize,
+    place: SocketAddr,
+    /// A connection that was held.
+    held: Option<TcpStream>,
 }
 
 impl Front {
-    pub fn new(nodes: usize, places: NodePlaces) -> Self {
+    pub fn new(nodes: usize, places: NodePlaces, log: Log) -> Self {
         Front {
-            admitted: (0..nodes).map(|_| AtomicBool::new(false)).collect(),
+            closes: (0..nodes).map(|_| AtomicU64::new(0)).collect(),
             next: AtomicUsize::new(0),
             places,
+            links: Links::new(nodes),
+            log,
         }
     }
 
     pub fn admit(&self, node: usize, well: bool) {
-        self.admitted[node].store(well, Ordering::Relaxed);
+        self.closes[node].store(if well { Micros::MAX } else { self.log.now() }, Ordering::Relaxed);
     }
 
-    /// The next node that is well; where none is, the next one all the same.
-    fn pick(&self) -> (usize, Option<SocketAddr>) {
+    fn heard(&self, node: usize, said: Ready) {
+        let after = match said {
+            Ready::Yes => return self.admit(node, true),
+            Ready::No => AFTER_NO,
+            Ready::Nothing => AFTER_SILENCE,
+        };
+        // Counted from the first of them: a later one moves nothing.
+        self.closes[node].fetch_min(self.log.now() + after, Ordering::Relaxed);
+    }
+
+    /// Asks a node whether it is ready, again and again, and writes down where the answer changes.
+    pub async fn watch(self: Arc<Self>, node: usize) {
+        let mut ticks = interval(PROBES);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+        let mut last = Ready::Nothing;
+        loop {
+            ticks.tick().await;
+            let Some(place) = self.places.lock()[node] else { continue };
+            let said = match asked(place).await {
+                Some(true) => Ready::Yes,
+                Some(false) => Ready::No,
+                None => Ready::Nothing,
+            };
+            self.heard(node, said);
+            if said != last {
+                self.log.add(What::Said { node, ready: said });
+                last = said;
+            }
+        }
+    }
+
+    /// The next node in turn that takes new connections, or to which one is held: those stay in use while they are open.
+    fn pick(&self, new_ones: bool) -> Option<Way> {
         let first = self.next.fetch_add(1, Ordering::Relaxed);
-        let all = self.admitted.len();
-        let well =
-            (0..all).map(|n| (first + n) % all).find(|node| self.admitted[*node].load(Ordering::Relaxed));
-        let node = well.unwrap_or(first % all);
-        (node, self.places.lock()[node])
+        let all = self.closes.len();
+        (0..all).map(|n| (first + n) % all).find_map(|node| {
+            let place = self.places.lock()[node]?;
+            let held = if new_ones { None } else { self.links.take(node) };
+            let open = self.log.now() < self.closes[node].load(Ordering::Relaxed);
+            (open || held.is_some()).then_some(Way { node, place, held })
+        })
     }
 }
 
@@ -65,7 +116,8 @@
     pub tries: Tries,
     pub front: Arc<Front>,
     pub log: Log,
-    client: Client<HttpConnector, Full<Bytes>>,
+    /// Nobody asks any more: the run has seen what it wanted.
+    pub enough: AtomicBool,
 }
 
 /// How a try ended, for the client.
@@ -85,14 +137,7 @@
         front: Arc<Front>,
         log: Log,
     ) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_secs(1)));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(20))
-            .build(connector);
-        Clients { scenario, jobs, tries, front, log, client }
+        Clients { scenario, jobs, tries, front, log, enough: AtomicBool::new(false) }
     }
 
     /// Sends every job at its moment, counted from `begin`, and returns once each has come to its end.
@@ -101,6 +146,9 @@
         for job in 0..self.jobs.len() {
             let intended = begin + self.jobs[job].at;
             sleep_until(self.log.instant(intended)).await;
+            if self.enough.load(Ordering::Relaxed) {
+                break;
+            }
             let (clients, done) = (self.clone(), done.clone());
             open.spawn(async move {
                 clients.ask(job, intended).await;
@@ -138,7 +186,10 @@
     async fn try_once(&self, job: usize, number: u32, wait: Micros, late_us: Micros) -> End {
         let planned = &self.jobs[job];
         let class = &self.scenario.classes[planned.class];
-        let (node, place) = self.front.pick();
+        // By the golden ratio the share is the same in every stretch of jobs.
+        let new_ones = (job as f64 * 0.618_033_988_749_895).fract() < self.scenario.load.new_connections;
+        let way = self.front.pick(new_ones);
+        let node = way.as_ref().map_or(0, |way| way.node);
         let id = format!("j{job}-{number}");
         self.tries.add(&id, node, job);
         self.log.add(What::Asked {
@@ -149,53 +200,41 @@
             give_up_us: wait,
             late_us,
         });
-        let mut request = Request::post(match place {
-            Some(place) => format!("http://{place}/api/set-{}", planned.set),
-            None => return self.missing(id, Missing::Unreachable),
-        })
-        .header("x-request-id", &id)
-        .header("x-class", &class.name)
-        .header("x-deadline", format!("{:.6}", wait as f64 / 1e6))
-        .header("x-cost-hint", format!("{:.0}", planned.hint_s * 1e6))
-        .header("x-extras", format!("slots={}", planned.slots));
+        let Some(way) = way else { return self.missing(id, Missing::NoNode) };
+        let mut request = format!(
+            "POST /api/set-{} HTTP/1.1\r\nhost: {}\r\nx-request-id: {id}\r\nx-class: {}\r\nx-deadline: {:.6}\r\n\
+             x-cost-hint: {:.0}\r\nx-extras: slots={}\r\n",
+            planned.set,
+            way.place,
+            class.name,
+            wait as f64 / 1e6,
+            planned.hint_s * 1e6,
+            planned.slots
+        );
         if class.repeats == ClassRepeats::Keyed {
-            request = request.header("idempotency-key", format!("{job:032x}"));
+            request += &format!("idempotency-key: {job:032x}\r\n");
         }
         if number > 0 {
-            request = request.header("x-retry", "1");
+            request += "x-retry: 1\r\n";
         }
-        let Ok(request) = request.body(Full::new(Bytes::from_static(b"interval=40-55"))) else {
-            unreachable!("every part of it is plain text");
-        };
-        let answer = async {
-            let reply = self
-                .client
-                .request(request)
-                .await
-                .map_err(|e| if e.is_connect() { Missing::Unreachable } else { Missing::Closed })?;
-            let (head, body) = reply.into_parts();
-            let body = Limited::new(body, LONGEST_ANSWER).collect().await.map_err(|_| Missing::Closed)?;
-            Ok((head, body.to_bytes()))
-        };
-        let (head, body) = match timeout(Duration::from_micros(wait) + PATIENCE, answer).await {
+        request += &format!("content-length: {}\r\n\r\n{BODY}", BODY.len());
+        let answer = self.front.links.send(node, way.place, way.held, request.as_bytes(), !new_ones);
+        let answer = match timeout(Duration::from_micros(wait) + PATIENCE, answer).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(why)) => return self.missing(id, why),
             Err(_) => return self.missing(id, Missing::Late),
         };
-        let good = body == result_of(&id).as_bytes();
-        self.log.add(What::Answered { id, status: head.status.as_u16(), good });
-        match head.status {
-            StatusCode::OK if good => End::Served,
-            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-                let after = head.headers.get("retry-after").and_then(|v| v.to_str().ok()?.parse().ok());
-                End::Refused { after }
-            }
+        let good = answer.body == result_of(&id).as_bytes();
+        self.log.add(What::Answered { id, status: answer.status, good });
+        match answer.status {
+            200 if good => End::Served,
+            429 | 503 => End::Refused { after: answer.retry_after },
             _ => End::Failed,
         }
     }
 
     fn missing(&self, id: String, why: Missing) -> End {
         self.log.add(What::Unanswered { id, why });
-        if why == Missing::Unreachable { End::Unreachable } else { End::Missing }
+        if matches!(why, Missing::Unreachable | Missing::NoNode) { End::Unreachable } else { End::Missing }
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,8 +3,12 @@
 #![forbid(unsafe_code)]
 
 mod compare;
+mod console;
+mod daily;
+mod drill;
 mod fleet;
 mod judge;
+mod links;
 mod load;
 mod nodes;
 mod play;
@@ -12,6 +16,7 @@
 mod report;
 mod scenario;
 mod scripted;
+mod upkeep;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -78,6 +83,32 @@
         #[arg(long, default_value = "found/compare", value_name = "FOLDER")]
         out: PathBuf,
     },
+    /// Do one thing of daily operation many times on a node under load, and print a table of what came of it
+    Drill {
+        /// What is done
+        kind: drill::Kind,
+        /// How many times, one after another
+        #[arg(long, default_value_t = 20)]
+        times: usize,
+        /// It decides all drawn moments, and the load
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The longest wait between a newer process's yes and SIGTERM for the older one, seconds
+        #[arg(long, default_value_t = scenario::LONGEST_DELAY_S, value_name = "SECONDS")]
+        delay: f64,
+        /// The node's program; else the one beside this program
+        #[arg(long, value_name = "FILE")]
+        node: Option<PathBuf>,
+        /// Use the lab's own scripted node instead, with this fault
+        #[arg(long, value_name = "FAULT", conflicts_with = "node")]
+        scripted: Option<scripted::Flaw>,
+        /// Where the report, what was seen and the nodes' logs go
+        #[arg(long, default_value = "found/drill", value_name = "FOLDER")]
+        out: PathBuf,
+        /// No progress bar
+        #[arg(long)]
+        quiet: bool,
+    },
     /// Read a scenario and say whether it is good
     Check {
         /// The scenario's file
@@ -106,18 +137,23 @@
         Command::Run { scenario, node, scripted, seed, out, quiet } => {
             let mut scenario = read(&scenario)?;
             scenario.seed = seed.unwrap_or(scenario.seed);
-            let program = match scripted {
-                Some(flaw) => Program {
-                    path: std::env::current_exe().map_err(|e| format!("this program's own place: {e}"))?,
-                    arguments: vec!["scripted-node".into(), flaw.to_string()],
-                    folder: out.clone(),
-                },
-                None => Program { path: program(node)?, arguments: Vec::new(), folder: out.clone() },
-            };
-            runtime(1)?.block_on(run(scenario, program, !quiet)).map(|(figures, code)| {
-                print!("{}", report::in_short(&figures));
+            let program = program_or_scripted(node, scripted, &out)?;
+            runtime(1)?.block_on(run(scenario, program, None, !quiet)).map(|ran| {
+                print!("{}", report::in_short(&ran.figures));
                 println!("report: {}", out.join("report.html").display());
-                code
+                ran.code
+            })
+        }
+        Command::Drill { kind, times, seed, delay, node, scripted, out, quiet } => {
+            if !(0.0..=scenario::LONGEST_DELAY_S).contains(&delay) {
+                return Err(format!("--delay: {delay} is not from 0 to {}", scenario::LONGEST_DELAY_S));
+            }
+            let drill = drill::Drill { kind, times, delay_s: delay };
+            let program = program_or_scripted(node, scripted, &out)?;
+            runtime(1)?.block_on(run(drill.scenario(seed), program, Some(drill), !quiet)).map(|ran| {
+                print!("{}", drill::table(drill, seed, &ran.played, &ran.figures.daily, &ran.breaches));
+                println!("report: {}", out.join("report.html").display());
+                ran.code
             })
         }
         Command::Compare { scenario, a, b, operator_a, operator_b, seeds, out } => {
@@ -131,9 +167,9 @@
                     scenario.nodes.operator = operator.clone().or(scenario.nodes.operator);
                     let folder = out.join(format!("{name}-{seed}"));
                     let program = Program { path: path.to_owned(), arguments: Vec::new(), folder };
-                    let (figures, _) = runtime(1)?.block_on(run(scenario, program, true))?;
-                    println!("seed {seed} {name}: {:.3}", figures.share_in_time);
-                    Ok(figures)
+                    let ran = runtime(1)?.block_on(run(scenario, program, None, true))?;
+                    println!("seed {seed} {name}: {:.3}", ran.figures.share_in_time);
+                    Ok(ran.figures)
                 };
                 // Each goes first in turn, so that what warms the machine helps neither.
                 pairs.push(if seed % 2 == 0 {
@@ -188,6 +224,19 @@
     Ok(path)
 }
 
+fn program_or_scripted(
+    node: Option<PathBuf>,
+    scripted: Option<scripted::Flaw>,
+    out: &Path,
+) -> Result<Program, String> {
+    let Some(flaw) = scripted else {
+        return Ok(Program { path: program(node)?, arguments: Vec::new(), folder: out.to_owned() });
+    };
+    let path = std::env::current_exe().map_err(|e| format!("this program's own place: {e}"))?;
+    let arguments = vec!["scripted-node".into(), flaw.to_string()];
+    Ok(Program { path, arguments, folder: out.to_owned() })
+}
+
 /// Threads beside the one that waits: the lab needs more than one only at large size.
 fn runtime(more: usize) -> Result<tokio::runtime::Runtime, String> {
     tokio::runtime::Builder::new_multi_thread()
@@ -201,13 +250,28 @@
     std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
 }
 
-async fn run(scenario: Scenario, program: Program, bar: bool) -> Result<(Figures, u8), String> {
+/// What is left of a run once its files are written.
+struct Ran {
+    played: play::Played,
+    breaches: Vec<judge::Breach>,
+    figures: Figures,
+    /// What this program ends with.
+    code: u8,
+}
+
+async fn run(
+    scenario: Scenario,
+    program: Program,
+    drill: Option<drill::Drill>,
+    bar: bool,
+) -> Result<Ran, String> {
     let out = program.folder.clone();
     std::fs::create_dir_all(&out).map_err(|e| format!("{}: {e}", out.display()))?;
-    let played = play::play(scenario.clone(), program, bar).await?;
+    let played = play::play(scenario.clone(), program, drill, bar).await?;
     // A run cut short leaves requests open that nobody can be blamed for.
-    let breaches =
+    let mut breaches =
         if played.interrupted { Vec::new() } else { judge::judge(&played.records, &scenario.rules()) };
+    breaches.extend(daily::size(&played.samples, &scenario));
     let figures = report::figures(&scenario, &played, &breaches);
     let lines = played.records.iter().map(|record| serde_json::to_string(record).map(|line| line + "\n"));
     let seen: String = lines.collect::<Result<_, _>>().map_err(|e| e.to_string())?;
@@ -226,5 +290,5 @@
         (true, false) => 3,
         (true, true) => 0,
     };
-    Ok((figures, code))
+    Ok(Ran { played, breaches, figures, code })
 }
--- a/crates/lab/src/nodes.rs
+++ b/crates/lab/src/nodes.rs
@@ -13,12 +13,13 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde::Serialize;
 use serde_json::json;
+use thiserror::Error;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::scenario::{ClassRepeats, DEDUP_WINDOW, FALL_WINDOW, OVERLOAD_FACTOR, Scenario};
+use crate::scenario::{ClassRepeats, DEDUP_WINDOW, FALL_WINDOW, MEMORY_MB, OVERLOAD_FACTOR, Scenario};
 
 /// A node says where it serves within this, and is ready within the second.
 const SERVES_WITHIN: Duration = Duration::from_secs(10);
@@ -37,6 +38,31 @@
     pub descriptors: usize,
 }
 
+/// What a process is started with beyond its program.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub number: usize,
+    /// Counts the processes of a node that were started beside an older one.
+    pub version: usize,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    /// Its second address, where the scenario needs one.
+    pub console: Option<SocketAddr>,
+    /// The node's own folder for what lasts a short time; both processes of a node share it.
+    pub temporary: PathBuf,
+}
+
+/// Why a node does not run.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    #[error("{}: {problem}; give the lab a folder that it can write to", file.display())]
+    Write { file: PathBuf, problem: std::io::Error },
+    #[error("node {node}: {}: {problem}; name a program that can be run with --node", program.display())]
+    Start { node: usize, program: PathBuf, problem: std::io::Error },
+    #[error("node {node} {why}; its last lines:\n    {lines}")]
+    Failed { node: usize, why: &'static str, lines: String },
+}
+
 /// What every node is started by.
 #[derive(Clone)]
 pub struct Program {
@@ -48,15 +74,19 @@
 
 /// A node's process.
 pub struct Node {
-    pub number: usize,
+    pub place: Place,
+    /// Where it serves; before it has said so, where it was told to listen.
     pub address: SocketAddr,
     pub child: Child,
+    /// Says the address once it serves.
+    serves: Option<oneshot::Receiver<SocketAddr>>,
     config: PathBuf,
     lines: Arc<Mutex<VecDeque<String>>>,
 }
 
 /// The platform's file for a node.
-pub fn config(scenario: &Scenario, number: usize, listen: SocketAddr, discovery: SocketAddr) -> String {
+pub fn config(scenario: &Scenario, place: &Place) -> String {
+    let Place { number, listen, discovery, console, .. } = place;
     let services: Vec<_> = scenario
         .classes
         .iter()
@@ -72,10 +102,10 @@
         })
         .collect();
     let kinds: Vec<_> = scenario.fleet.kinds.iter().map(|kind| kind.name.as_str()).collect();
-    let file = json!({
+    let mut file = json!({
         "name": format!("n{number}"), "listen": listen, "discovery": discovery,
-        "seed": format!("{:016x}", scenario.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ number as u64),
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": scenario.nodes.descriptors},
+        "seed": format!("{:016x}", scenario.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ *number as u64),
+        "limits": {"cores": 1.0, "memory_mb": MEMORY_MB as u64, "sockets": scenario.nodes.descriptors},
         "known": {"index": 0, "snapshot": true, "endpoints": []},
         "settings": {
             "balancers": scenario.nodes.count, "rank": number, "zone": 0, "discovery": "subscribe",
@@ -87,30 +117,56 @@
                 "warmUpUs": span(scenario.fleet.warm_up_s), "overloadFactor": OVERLOAD_FACTOR, "fallUs": FALL_WINDOW},
         },
     });
+    if let Some(console) = console {
+        file["console"] = json!(console);
+    }
     file.to_string()
 }
 
 impl Node {
-    /// Starts a node, and returns once it is ready to serve. The error shows the last lines that it wrote.
-    pub async fn start(
-        program: &Program,
-        scenario: &Scenario,
-        number: usize,
-        listen: SocketAddr,
-        discovery: SocketAddr,
-    ) -> Result<Node, String> {
-        let place = program.folder.join(format!("n{number}.json"));
-        write(&place, &config(scenario, number, listen, discovery))?;
+    /// Starts a node, and returns once it is ready to serve.
+    pub async fn start(program: &Program, scenario: &Scenario, place: Place) -> Result<Node, NodeError> {
+        let mut node = Node::spawn(program, scenario, place)?;
+        let serves = node.serves.take().map(|serves| timeout(SERVES_WITHIN, serves));
+        node.address = match serves.expect("just spawned").await {
+            Ok(Ok(address)) => address,
+            Ok(Err(_)) => return Err(node.failed("ended before it served")),
+            Err(_) => return Err(node.failed("did not say where it serves")),
+        };
+        let until = Instant::now() + READY_WITHIN;
+        while asked(node.address).await != Some(true) {
+            if Instant::now() > until {
+                return Err(node.failed("did not become ready"));
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        Ok(node)
+    }
+
+    /// Starts a process, and returns at once.
+    pub fn spawn(program: &Program, scenario: &Scenario, place: Place) -> Result<Node, NodeError> {
+        let number = place.number;
+        // The first keeps the plain name; those beside it have files of their own.
+        let name = match place.version {
+            0 => format!("n{number}"),
+            version => format!("n{number}-v{version}"),
+        };
+        let config = program.folder.join(format!("{name}.json"));
+        write(&config, &self::config(scenario, &place))?;
+        std::fs::create_dir_all(&place.temporary)
+            .map_err(|problem| NodeError::Write { file: place.temporary.clone(), problem })?;
         // The shell lowers its own limit and then becomes the program, so that signals reach that.
         let mut command = Command::new("/bin/sh");
         command
             .args(["-c", r#"ulimit -n "$0" && exec "$@""#, &scenario.nodes.descriptors.to_string()])
             .arg(&program.path)
             .args(&program.arguments)
-            .env("RELAY_CONFIG", &place)
+            .env("RELAY_CONFIG", &config)
+            .env("TMPDIR", &place.temporary)
             .env_remove("RELAY_NAME")
             .env_remove("RELAY_LISTEN")
             .env_remove("RELAY_DISCOVERY")
+            .env_remove("RELAY_CONSOLE")
             .env_remove("CURLEWUSHER_OPERATOR")
             .stdin(Stdio::null())
             .stdout(Stdio::null())
@@ -121,37 +177,22 @@
         if let Some(file) = &scenario.nodes.operator {
             command.env("CURLEWUSHER_OPERATOR", file);
         }
-        let mut child =
-            command.spawn().map_err(|e| format!("node {number}: {}: {e}", program.path.display()))?;
-        let Some(stderr) = child.stderr.take() else {
-            return Err(format!("node {number}: no standard error"));
-        };
+        let failed = |problem| NodeError::Start { node: number, program: program.path.clone(), problem };
+        let mut child = command.spawn().map_err(failed)?;
         let lines: Arc<Mutex<VecDeque<String>>> = Arc::default();
         let (said, serves) = oneshot::channel();
-        let log = program.folder.join(format!("n{number}.log"));
-        tokio::spawn(keep_lines(stderr, log, lines.clone(), said));
-        let failed = |why: &str, lines: &Mutex<VecDeque<String>>| {
-            let lines = lines.lock();
-            let shown: String = lines.iter().map(|line| format!("\n    {line}")).collect();
-            format!(
-                "node {number} {why}; its last lines:{}",
-                if shown.is_empty() { "\n    (none)" } else { &shown }
-            )
-        };
-        let address = match timeout(SERVES_WITHIN, serves).await {
-            Ok(Ok(address)) => address,
-            Ok(Err(_)) => return Err(failed("ended before it served", &lines)),
-            Err(_) => return Err(failed("did not say where it serves", &lines)),
-        };
-        let node = Node { number, address, child, config: place, lines };
-        let until = Instant::now() + READY_WITHIN;
-        while !ready(address).await {
-            if Instant::now() > until {
-                return Err(failed("did not become ready", &node.lines));
-            }
-            sleep(Duration::from_millis(50)).await;
+        if let Some(stderr) = child.stderr.take() {
+            let log = program.folder.join(format!("{name}.log"));
+            tokio::spawn(keep_lines(stderr, log, lines.clone(), said));
         }
-        Ok(node)
+        Ok(Node { address: place.listen, place, child, serves: Some(serves), config, lines })
+    }
+
+    /// That it does not run, with its last lines.
+    pub fn failed(&self, why: &'static str) -> NodeError {
+        let lines = self.last_lines().join("\n    ");
+        let lines = if lines.is_empty() { "(none)".into() } else { lines };
+        NodeError::Failed { node: self.place.number, why, lines }
     }
 
     /// The last lines that it wrote.
@@ -168,15 +209,16 @@
     }
 
     /// Writes its configuration anew with another discovery, and has it read.
-    pub fn move_discovery(&self, scenario: &Scenario, discovery: SocketAddr) -> Result<(), String> {
-        write(&self.config, &config(scenario, self.number, self.address, discovery))?;
+    pub fn move_discovery(&mut self, scenario: &Scenario, discovery: SocketAddr) -> Result<(), NodeError> {
+        self.place = Place { discovery, listen: self.address, ..self.place.clone() };
+        write(&self.config, &config(scenario, &self.place))?;
         self.signal(Signal::HUP);
         Ok(())
     }
 }
 
-fn write(path: &Path, text: &str) -> Result<(), String> {
-    std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
+fn write(path: &Path, text: &str) -> Result<(), NodeError> {
+    std::fs::write(path, text).map_err(|problem| NodeError::Write { file: path.to_owned(), problem })
 }
 
 /// Keeps all lines in a file and the last ones at hand, and says the address that the first of them names.
@@ -207,8 +249,8 @@
     }
 }
 
-/// Whether a node says that it is ready.
-pub async fn ready(address: SocketAddr) -> bool {
+/// Whether a node says that it is ready; none where it says nothing.
+pub async fn asked(address: SocketAddr) -> Option<bool> {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     let ask = async {
         let mut stream = tokio::net::TcpStream::connect(address).await.ok()?;
@@ -217,7 +259,7 @@
         stream.read_exact(&mut head).await.ok()?;
         Some(head == *b"HTTP/1.1 200")
     };
-    timeout(Duration::from_secs(1), ask).await.ok().flatten() == Some(true)
+    timeout(Duration::from_secs(1), ask).await.ok().flatten()
 }
 
 /// What a process has cost, as the system tells it; none once it is gone.
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -1,7 +1,9 @@
 //! Owns a run from its first process to its last: the order of start and end, the faults at their times, and the samples
 //! of cost. It must never judge what happened.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -9,22 +11,26 @@
 use curlewusher_model::span;
 use indicatif::{ProgressBar, ProgressStyle};
 use rustix::process::Signal;
+use thiserror::Error;
 use tokio::sync::Mutex;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
+use crate::console::{NoPlace, free_place};
+use crate::drill::Drill;
 use crate::fleet::{Fleet, NodePlaces, Order, Tries};
 use crate::load::{Clients, Front};
-use crate::nodes::{Node, Program, Sample, cost, ready};
+use crate::nodes::{Node, NodeError, Place, Program, Sample, asked, cost};
 use crate::record::{Log, Record, What};
 use crate::scenario::{Fault, FaultKind, Scenario};
+use crate::upkeep::{Plan, join_all};
 
 /// The front notices that a node ends or has died after this.
 const FRONT_HEARS_END: Duration = Duration::from_millis(300);
 const FRONT_HEARS_DEATH: Duration = Duration::from_millis(2000);
 /// SIGKILL comes so long after SIGTERM, or after the longest time of a class where that is longer, and 0.7 s.
-const KILL_AT_LEAST: Duration = Duration::from_millis(3000);
-const KILL_GRACE: Duration = Duration::from_millis(700);
+pub const KILL_AT_LEAST: Duration = Duration::from_millis(3000);
+pub const KILL_GRACE: Duration = Duration::from_millis(700);
 /// A drained worker has left after this.
 const WORKER_DRAINS: Duration = Duration::from_secs(5);
 const SAMPLES: Duration = Duration::from_millis(500);
@@ -42,27 +48,69 @@
     pub interrupted: bool,
 }
 
-struct Stage {
-    scenario: Arc<Scenario>,
-    program: Program,
-    fleet: Fleet,
-    front: Arc<Front>,
+/// A node as it is held: taken out while it is ended or upgraded.
+#[derive(Default)]
+pub struct Held {
+    pub node: Option<Node>,
+    /// Where an operator calls; in an upgrade the newer process as soon as it is ready.
+    pub console: Option<SocketAddr>,
+    /// Processes of an upgrade, which cost as one.
+    pub processes: Vec<u32>,
+}
+
+/// Why a node could not be started.
+#[derive(Debug, Error)]
+pub enum StartError {
+    #[error(transparent)]
+    Node(#[from] NodeError),
+    #[error(transparent)]
+    Console(#[from] NoPlace),
+    #[error("{0}")]
+    Discovery(String),
+}
+
+/// All that a run consists of.
+pub struct Stage {
+    pub scenario: Arc<Scenario>,
+    pub program: Program,
+    pub fleet: Fleet,
+    pub front: Arc<Front>,
     places: NodePlaces,
-    log: Log,
-    nodes: Vec<Mutex<Option<Node>>>,
+    pub log: Log,
+    pub nodes: Vec<Mutex<Held>>,
     crashes: parking_lot::Mutex<Vec<String>>,
+    /// Nodes have a second address.
+    consoles: bool,
+    /// Folders of the nodes' own; short names, since the name of a Unix socket in one holds 107 bytes at most.
+    temporary: PathBuf,
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        // What is left is worth nothing to anybody, and a folder that cannot be removed does no harm.
+        let _ = std::fs::remove_dir_all(&self.temporary);
+    }
 }
 
 /// Plays a scenario to its end, or until the process is interrupted: then all children end and what was seen remains.
-pub async fn play(scenario: Scenario, program: Program, bar: bool) -> Result<Played, String> {
+/// With a drill, the load ends once that is over.
+pub async fn play(
+    scenario: Scenario,
+    program: Program,
+    drill: Option<Drill>,
+    bar: bool,
+) -> Result<Played, String> {
     let scenario = Arc::new(scenario);
     let jobs = Arc::new(scenario.wish().draw());
     let (log, tries) = (Log::new(), Tries::default());
     let places: NodePlaces = Arc::new(parking_lot::Mutex::new(vec![None; scenario.nodes.count]));
     let fleet = Fleet::start(&scenario, jobs.clone(), tries.clone(), places.clone(), log.clone()).await?;
-    let front = Arc::new(Front::new(scenario.nodes.count, places.clone()));
+    let front = Arc::new(Front::new(scenario.nodes.count, places.clone(), log.clone()));
+    let temporary = std::env::temp_dir().join(format!("curlewusher-lab-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&temporary);
     let stage = Arc::new(Stage {
-        nodes: (0..scenario.nodes.count).map(|_| Mutex::new(None)).collect(),
+        nodes: (0..scenario.nodes.count).map(|_| Mutex::default()).collect(),
+        consoles: drill.is_some() || scenario.needs_consoles(),
         scenario: scenario.clone(),
         program,
         fleet,
@@ -70,10 +118,11 @@
         places,
         log: log.clone(),
         crashes: parking_lot::Mutex::default(),
+        temporary,
     });
     let starts = async {
         for node in 0..scenario.nodes.count {
-            stage.start_node(node, SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+            stage.start_node(node, SocketAddr::from(([127, 0, 0, 1], 0))).await.map_err(|e| e.to_string())?;
         }
         Ok::<(), String>(())
     };
@@ -84,22 +133,41 @@
     }
     let begin = log.now() + 200_000;
     let done = Arc::new(AtomicUsize::new(0));
-    let mut tasks = JoinSet::new();
-    for fault in scenario.faults.clone() {
-        let stage = stage.clone();
-        tasks.spawn(async move { stage.fault(fault, begin).await });
+    // Upgrades are seen through; of the other faults, some never end.
+    let (mut tasks, mut upgrades) = (JoinSet::new(), JoinSet::new());
+    for (nth, fault) in scenario.faults.clone().into_iter().enumerate() {
+        let (stage, upgrade) = (stage.clone(), fault.kind.is_upgrade());
+        let task = async move { stage.fault(nth, fault, begin).await };
+        if upgrade {
+            upgrades.spawn(task)
+        } else {
+            tasks.spawn(task)
+        };
+    }
+    for node in 0..scenario.nodes.count {
+        tasks.spawn(front.clone().watch(node));
     }
     let samples = Arc::new(parking_lot::Mutex::new(Vec::new()));
     let (watched, kept) = (stage.clone(), samples.clone());
     let sampling = tokio::spawn(async move { watched.sample(kept).await });
-    let all = jobs.len();
+    let all = drill.map_or(jobs.len(), |drill| drill.times);
     let clients = Arc::new(Clients::new(scenario.clone(), jobs, tries, front, log.clone()));
     let shown = if bar { ProgressBar::new(all as u64) } else { ProgressBar::hidden() };
-    let style = "{elapsed_precise} {wide_bar} {pos}/{len} jobs ended";
+    let what = if drill.is_some() { "times" } else { "jobs ended" };
+    let style = &format!("{{elapsed_precise}} {{wide_bar}} {{pos}}/{{len}} {what}");
+    let rounds = Arc::new(AtomicUsize::new(0));
+    if let Some(drill) = drill {
+        let (stage, clients, rounds) = (stage.clone(), clients.clone(), rounds.clone());
+        tasks.spawn(async move {
+            stage.drill(drill, begin, &rounds).await;
+            clients.enough.store(true, Ordering::Relaxed);
+        });
+    }
     shown.set_style(ProgressStyle::with_template(style).unwrap_or_else(|_| ProgressStyle::default_bar()));
     let mut load = tokio::spawn(clients.run(begin, done.clone()));
     let interrupted = loop {
-        shown.set_position(done.load(Ordering::Relaxed) as u64);
+        let count = if drill.is_some() { &rounds } else { &done };
+        shown.set_position(count.load(Ordering::Relaxed) as u64);
         tokio::select! {
             _ = &mut load => break false,
             _ = tokio::signal::ctrl_c() => break true,
@@ -109,6 +177,8 @@
     shown.finish_and_clear();
     load.abort();
     let end = log.now();
+    while !interrupted && upgrades.join_next().await.is_some() {}
+    upgrades.shutdown().await;
     tasks.shutdown().await;
     stage.end(interrupted).await;
     sampling.abort();
@@ -118,26 +188,32 @@
 }
 
 impl Stage {
-    async fn start_node(&self, number: usize, listen: SocketAddr) -> Result<(), String> {
-        let discovery = self.fleet.discovery_for(number).await?;
-        let node = Node::start(&self.program, &self.scenario, number, listen, discovery).await?;
+    pub async fn start_node(&self, number: usize, listen: SocketAddr) -> Result<(), StartError> {
+        let discovery = self.fleet.discovery_for(number).await.map_err(StartError::Discovery)?;
+        let console = if self.consoles { Some(free_place()?) } else { None };
+        let temporary = self.temporary.join(format!("n{number}"));
+        let place = Place { number, version: 0, listen, discovery, console, temporary };
+        let node = Node::start(&self.program, &self.scenario, place).await?;
         self.places.lock()[number] = Some(node.address);
-        *self.nodes[number].lock().await = Some(node);
+        *self.nodes[number].lock().await = Held { node: Some(node), console, processes: Vec::new() };
         self.log.add(What::NodeReady { node: number });
         self.front.admit(number, true);
         Ok(())
     }
 
-    fn crashed(&self, words: String) {
-        self.crashes.lock().push(words);
+    pub fn crashed(&self, words: impl std::fmt::Display) {
+        self.crashes.lock().push(words.to_string());
     }
 
     async fn sample(&self, into: Arc<parking_lot::Mutex<Vec<Sample>>>) {
+        // Processor time of all processes that a node ever had.
+        let mut spent: Vec<HashMap<u32, f64>> = vec![HashMap::new(); self.nodes.len()];
         loop {
-            for (number, node) in self.nodes.iter().enumerate() {
-                let mut held = node.lock().await;
-                let Some(node) = held.as_mut() else { continue };
-                if let Ok(Some(status)) = node.child.try_wait() {
+            for (number, held) in self.nodes.iter().enumerate() {
+                let mut held = held.lock().await;
+                if let Some(node) = held.node.as_mut()
+                    && let Ok(Some(status)) = node.child.try_wait()
+                {
                     // Nobody told it to end: whoever does takes it out first.
                     let lines = node.last_lines().join("\n    ");
                     self.crashed(format!(
@@ -145,18 +221,31 @@
                     ));
                     self.log.add(What::NodeGone { node: number, killed: false });
                     self.front.admit(number, false);
-                    *held = None;
-                    continue;
+                    held.node = None;
                 }
                 let at_s = self.log.now() as f64 / 1e6;
-                let sample = node.child.id().and_then(|id| cost(id, number, at_s));
-                into.lock().extend(sample);
+                let own = held.node.as_ref().and_then(|node| node.child.id());
+                let processes = held.processes.iter().copied().chain(own);
+                let costs: Vec<Sample> = processes
+                    .filter_map(|id| {
+                        let sample = cost(id, number, at_s)?;
+                        spent[number].insert(id, sample.cpu_s);
+                        Some(sample)
+                    })
+                    .collect();
+                let cpu_s = spent[number].values().sum();
+                let sum = |sum: Sample, one: Sample| Sample {
+                    memory_mb: sum.memory_mb + one.memory_mb,
+                    descriptors: sum.descriptors + one.descriptors,
+                    ..sum
+                };
+                into.lock().extend(costs.into_iter().reduce(sum).map(|sample| Sample { cpu_s, ..sample }));
             }
             sleep(SAMPLES).await;
         }
     }
 
-    async fn fault(&self, fault: Fault, begin: u64) {
+    async fn fault(&self, nth: usize, fault: Fault, begin: u64) {
         let instant = |s: f64| self.log.instant(begin + span(s));
         let targets = self.scenario.targets(&fault);
         sleep_until(instant(fault.at_s)).await;
@@ -203,7 +292,7 @@
             FaultKind::Reload => {
                 for node in targets.iter().copied() {
                     let Ok(discovery) = self.fleet.discovery_for(node).await else { continue };
-                    if let Some(node) = &*self.nodes[node].lock().await
+                    if let Some(node) = &mut self.nodes[node].lock().await.node
                         && let Err(problem) = node.move_discovery(&self.scenario, discovery)
                     {
                         self.crashed(problem);
@@ -213,7 +302,7 @@
             FaultKind::NodeStop | FaultKind::NodeKill => {
                 let kill = fault.kind == FaultKind::NodeKill;
                 for number in targets.iter().copied() {
-                    let taken = self.nodes[number].lock().await.take();
+                    let taken = self.nodes[number].lock().await.node.take();
                     let Some(node) = taken else { continue };
                     let address = node.address;
                     self.end_node(node, kill, true).await;
@@ -226,13 +315,25 @@
                     }
                 }
             }
+            FaultKind::NodeDrain => {
+                join_all(targets.iter().map(|node| self.node_drain(*node, until))).await;
+            }
+            FaultKind::Maintenance => {
+                let length = Duration::from_secs_f64(fault.for_s.unwrap_or_default());
+                join_all(targets.iter().map(|worker| self.maintain(*worker, length))).await;
+            }
+            FaultKind::Upgrade | FaultKind::KillInUpgrade => {
+                let plan =
+                    |node: &usize| Plan::draw(&self.scenario, &fault, &format!("upgrade-{nth}-{node}"));
+                join_all(targets.iter().map(|node| self.upgrade(*node, plan(node)))).await;
+            }
         }
         self.log.add(What::Fault { words: words("ends") });
     }
 
     /// Ends a node; the front hears of it in its own time.
     async fn end_node(&self, mut node: Node, kill: bool, heard: bool) {
-        let number = node.number;
+        let number = node.place.number;
         let hears = async {
             sleep(if kill { FRONT_HEARS_DEATH } else { FRONT_HEARS_END }).await;
             self.front.admit(number, false);
@@ -276,8 +377,8 @@
     /// Ends all nodes, and looks whether each that should be there still serves.
     async fn end(&self, interrupted: bool) {
         for (number, held) in self.nodes.iter().enumerate() {
-            let Some(node) = held.lock().await.take() else { continue };
-            if !interrupted && !ready(node.address).await {
+            let Some(node) = held.lock().await.node.take() else { continue };
+            if !interrupted && asked(node.address).await != Some(true) {
                 self.crashed(format!("node {number} is not ready at the end of the load"));
             }
             let _ = timeout(Duration::from_secs(40), self.end_node(node, interrupted, false)).await;
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -89,6 +89,45 @@
         node: usize,
         killed: bool,
     },
+    /// The front asked a node whether it is ready and heard something else than the time before.
+    Said {
+        node: usize,
+        ready: Ready,
+    },
+    /// An operator's call came to its end, by an answer or without; `owed` is what it should have got.
+    Called {
+        node: usize,
+        call: String,
+        owed: Owed,
+        /// The line without its end.
+        said: Option<String>,
+        took_us: Micros,
+    },
+    /// What clients hold open to a node 4 s after the call of its drain: idle connections, and those that bear a job
+    /// which was sent in the last 2 s.
+    Standing {
+        node: usize,
+        idle: usize,
+        fresh: usize,
+    },
+    /// The newer process of a node was started beside the older one.
+    UpgradeBegan {
+        node: usize,
+    },
+    /// The newer process said yes to READY for the first time.
+    NewerReady {
+        node: usize,
+    },
+    /// One of the two processes of a node is no more; `killed`: the lab did it, and the scenario meant it.
+    ProcessGone {
+        node: usize,
+        newer: bool,
+        killed: bool,
+    },
+    /// The node is one process again.
+    UpgradeEnded {
+        node: usize,
+    },
     /// A fault of the scenario began or ended, in its own words.
     Fault {
         words: String,
@@ -99,14 +138,38 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Missing {
+    /// The front knew of no node that takes new connections.
+    NoNode,
     /// No connection came up: the node never had the request.
     Unreachable,
+    /// The connection was reset before a byte of an answer: the node need not have read the request.
+    Reset,
     /// The connection ended first.
     Closed,
     /// The client's time was up.
     Late,
 }
 
+/// What a node says to the front.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ready {
+    Yes,
+    /// Any other answer.
+    No,
+    Nothing,
+}
+
+/// What an operator's call should be answered with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Owed {
+    Yes,
+    No,
+    /// Either, as for READY at a process that has just been started.
+    Either,
+}
+
 /// A line of what was seen.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -9,6 +9,7 @@
 use plotters::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::daily::{self, Daily};
 use crate::judge::Breach;
 use crate::nodes::Sample;
 use crate::play::Played;
@@ -70,6 +71,9 @@
     pub attempts_of_worker: Vec<usize>,
     pub broken_rules: usize,
     pub crashes: usize,
+    /// What was seen of operators' work.
+    #[serde(default)]
+    pub daily: Daily,
     /// Worth asked and in time by second of asking, for each class.
     pub seconds: Vec<Vec<(f64, f64)>>,
 }
@@ -107,7 +111,8 @@
             }
             What::Unanswered { id, why } => {
                 if let Some(job) = of.get(id.as_str()).and_then(|job| jobs.get_mut(job)) {
-                    let status = if *why == Missing::Unreachable { 503 } else { 0 };
+                    let refused = matches!(why, Missing::Unreachable | Missing::NoNode);
+                    let status = if refused { 503 } else { 0 };
                     job.last = Some((*at, status, false));
                 }
             }
@@ -188,6 +193,7 @@
         attempts_of_worker,
         broken_rules: breaches.len(),
         crashes: played.crashes.len(),
+        daily: daily::look(&played.records, &scenario.rules()).1,
         seconds,
     }
 }
@@ -233,6 +239,9 @@
             node.cpu_s, node.most_memory_mb, node.most_descriptors
         );
     }
+    for line in daily_lines(&figures.daily) {
+        out += &format!("{line}\n");
+    }
     if !figures.valid {
         out += &format!(
             "NOT VALID: sends were late by {:.0} ms (99 %), or the run was cut short\n",
@@ -242,6 +251,26 @@
     out
 }
 
+/// What was seen of operators' work, a line for each upgrade and each kind of call.
+fn daily_lines(daily: &Daily) -> Vec<String> {
+    let seconds = |s: Option<f64>| s.map_or("never".into(), |s| format!("after {s:.2} s"));
+    let upgrade = |u: &daily::Upgrade| {
+        let kill = if u.killed { ", one process killed" } else { "" };
+        format!(
+            "upgrade of node {} at {:.1} s: newer ready {}, one process again {}, {} jobs harmed{kill}",
+            u.node,
+            u.at_s,
+            seconds(u.ready_s),
+            seconds(u.ended_s),
+            u.harmed
+        )
+    };
+    let call = |(call, (count, slowest)): (&String, &(usize, f64))| {
+        format!("{call}: {count} calls, the slowest {slowest:.1} ms")
+    };
+    daily.upgrades.iter().map(upgrade).chain(daily.calls.iter().map(call)).collect()
+}
+
 /// The page: one file that needs nothing else.
 pub fn page(scenario: &Scenario, played: &Played, figures: &Figures, breaches: &[Breach]) -> String {
     let bands = bands(played);
@@ -310,6 +339,10 @@
                 (plot(&of_nodes(&|s| s.descriptors as f64), length, None, &bands, "s", "open"))
                 h2 { "Attempts by worker" }
                 (plot(&[("attempts".into(), load)], figures.attempts_of_worker.len() as f64, None, &[], "worker", "attempts"))
+                @if !figures.daily.calls.is_empty() {
+                    h2 { "Operators' work" }
+                    ul { @for line in daily_lines(&figures.daily) { li { (line) } } }
+                }
                 h2 { "What was done" }
                 ul { @for (from, until, words) in &bands { li { (format!("{from:.1} to {until:.1} s: {words}")) } } }
             }
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -139,6 +139,9 @@
     /// It waits so long before each, or as it is advised where that is longer.
     #[serde(default)]
     pub retry_wait_s: f64,
+    /// The share of jobs that come each on a connection of its own; the others use connections that are held.
+    #[serde(default)]
+    pub new_connections: f64,
     #[serde(default, rename = "tide")]
     pub tides: Vec<LoadTide>,
 }
@@ -217,6 +220,28 @@
     /// How many times slower, for `slow`.
     #[serde(default)]
     pub factor: Option<f64>,
+    /// In an upgrade, SIGTERM follows the yes of the newer process after a drawn part of this.
+    #[serde(default)]
+    pub delay_s: Option<f64>,
+    /// Which process dies, for `kill_in_upgrade`; without it, that is drawn.
+    #[serde(default)]
+    pub whom: Option<Whom>,
+}
+
+impl Fault {
+    /// A fault with nothing but its kind.
+    pub fn of(kind: FaultKind) -> Self {
+        let (of, share, factor, delay_s, whom) = (Vec::new(), None, None, None, None);
+        Fault { at_s: 0.0, for_s: None, kind, of, share, factor, delay_s, whom }
+    }
+}
+
+/// One of the two processes of a node that is upgraded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Whom {
+    Older,
+    Newer,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -240,11 +265,29 @@
     NodeStop,
     /// A node is killed, and started again after `for_s`.
     NodeKill,
+    /// An operator drains a node, and ends the drain after `for_s`.
+    NodeDrain,
+    /// An operator calls a worker out on all nodes, and back after `for_s`; half way it is started again, cold.
+    Maintenance,
+    /// A newer process of a node is started beside it; the older one gets SIGTERM once that is ready, and a drawn time.
+    Upgrade,
+    /// The same, and one of both is killed at a drawn moment.
+    KillInUpgrade,
 }
 
 impl FaultKind {
     fn on_nodes(self) -> bool {
-        matches!(self, FaultKind::Reload | FaultKind::NodeStop | FaultKind::NodeKill)
+        use FaultKind::*;
+        matches!(self, Reload | NodeStop | NodeKill | NodeDrain | Upgrade | KillInUpgrade)
+    }
+
+    pub fn is_upgrade(self) -> bool {
+        matches!(self, FaultKind::Upgrade | FaultKind::KillInUpgrade)
+    }
+
+    /// Whether it is done by calls to the nodes' second addresses.
+    fn needs_console(self) -> bool {
+        self.is_upgrade() || matches!(self, FaultKind::NodeDrain | FaultKind::Maintenance)
     }
 }
 
@@ -252,10 +295,19 @@
 const SLACK: Micros = 50_000;
 const STOP_WITHIN: Micros = 750_000;
 const DRAIN_GRACE: Micros = 700_000;
+const NEWER_LEARNS: Micros = 2_000_000;
 pub const DEDUP_WINDOW: Micros = 40_000_000;
 pub const FALL_WINDOW: Micros = 2_000_000;
 pub const OVERLOAD_FACTOR: f64 = 3.0;
 
+/// SIGTERM comes this long after the yes of a newer process at the most, s.
+pub const LONGEST_DELAY_S: f64 = 6.0;
+/// An upgrade lasts as long as its drawn delay can be and this: the newer process says yes within 6 s, the older one is
+/// killed 3.7 s after SIGTERM, and the starts take a moment.
+const UPGRADE_LASTS_S: f64 = 10.0;
+/// Memory of a node, both of its processes together, MB.
+pub const MEMORY_MB: f64 = 192.0;
+
 /// The most workers that ever are in a scenario.
 const MOST_WORKERS: usize = 10_000;
 
@@ -324,6 +376,7 @@
             lone("load", "skew", load.skew, 0.0, 10.0),
             lone("load", "hint_spread", load.hint_spread, 0.0, 5.0),
             lone("load", "retries", f64::from(load.retries), 0.0, 100.0),
+            lone("load", "new_connections", load.new_connections, 0.0, 1.0),
             lone("load", "retry_wait_s", load.retry_wait_s, 0.0, 3_600.0),
             lone("", "class", self.classes.len() as f64, 1.0, 64.0),
         ];
@@ -356,6 +409,7 @@
             bounds.extend(fault.for_s.map(|value| of("for_s", value, 0.0, 86_400.0)));
             bounds.extend(fault.share.map(|value| of("share", value, 0.0, 1.0)));
             bounds.extend(fault.factor.map(|value| of("factor", value, 1.0, 1_000.0)));
+            bounds.extend(fault.delay_s.map(|value| of("delay_s", value, 0.0, LONGEST_DELAY_S)));
         }
         bounds.iter().try_for_each(Bound::check)?;
         self.check_names()?;
@@ -395,6 +449,29 @@
                 (FaultKind::Slow, Some(_)) | (_, None) => {}
                 (_, Some(_)) => return mistake("factor", "it is for kind slow only".into()),
             }
+            if matches!(fault.kind, FaultKind::NodeDrain | FaultKind::Maintenance) && fault.for_s.is_none() {
+                return mistake(
+                    "for_s",
+                    "this kind needs it: an operator calls back what was called out".into(),
+                );
+            }
+            if fault.delay_s.is_some() && !fault.kind.is_upgrade() {
+                return mistake("delay_s", "it is for kinds upgrade and kill_in_upgrade only".into());
+            }
+            if fault.whom.is_some() && fault.kind != FaultKind::KillInUpgrade {
+                return mistake("whom", "it is for kind kill_in_upgrade only".into());
+            }
+            let meets = |other: &&Fault| {
+                let apart = other.delay_s.unwrap_or(LONGEST_DELAY_S) + UPGRADE_LASTS_S;
+                let both = fault.kind.is_upgrade() && other.kind.is_upgrade();
+                let same = self.targets(other).iter().any(|node| self.targets(fault).contains(node));
+                both && same && other.at_s <= fault.at_s && fault.at_s < other.at_s + apart
+            };
+            let others = self.faults.iter().enumerate().filter(|(other, _)| *other != nth);
+            if let Some(other) = others.map(|(_, other)| other).find(meets) {
+                let free = other.at_s + other.delay_s.unwrap_or(LONGEST_DELAY_S) + UPGRADE_LASTS_S;
+                return mistake("at_s", format!("this node may be in an upgrade until {free} s; begin then"));
+            }
             let all_or_none = matches!(fault.kind, FaultKind::DiscoveryDown | FaultKind::Reload);
             let of_a_share = fault.share.is_some() && fault.kind != FaultKind::Grow;
             if !all_or_none && fault.of.is_empty() && !of_a_share {
@@ -407,6 +484,11 @@
         Ok(())
     }
 
+    /// Whether the nodes need a second address. Without need they have none: older programs know of none.
+    pub fn needs_consoles(&self) -> bool {
+        self.faults.iter().any(|fault| fault.kind.needs_console())
+    }
+
     /// Whom a fault is for.
     pub fn targets(&self, fault: &Fault) -> Vec<usize> {
         let all = if fault.kind.on_nodes() { self.nodes.count } else { self.fleet.workers };
@@ -498,6 +580,7 @@
             stop_within: STOP_WITHIN,
             drain_grace: DRAIN_GRACE,
             fall_window: FALL_WINDOW,
+            newer_learns: NEWER_LEARNS,
         }
     }
 }
@@ -514,7 +597,7 @@
         assert!(Scenario::parse(GOOD).is_ok(), "{:?}", Scenario::parse(GOOD));
         let fault = "worth = 1.0\n[[fault]]\nat_s = 1.0\nkind = 'kill'\nof = [0]\n[[fault]]\nat_s = 2.0\n";
         let second = |rest: &str| format!("{fault}{rest}");
-        let cases: [(&str, String, [&str; 3]); 27] = [
+        let cases: [(&str, String, [&str; 3]); 32] = [
             ("count = 1", "count = 0".into(), ["line 5", "nodes.count", "from 1 to 64"]),
             ("rate = 5.0", "rte = 5.0".into(), ["line 7", "rte", "`rate`"]),
             ("rate = 5.0", "rate = 'much'".into(), ["line 7", "load.rate", "f64"]),
@@ -569,6 +652,23 @@
                 ["line 25", "fault.factor", "slow only"],
             ),
             ("worth = 1.0", second("kind = 'kill'"), ["line 21", "fault.of", "share"]),
+            ("worth = 1.0", second("kind = 'maintenance'\nof = [1]"), ["line 21", "fault.for_s", "needs it"]),
+            ("worth = 1.0", second("kind = 'upgrade'\nof = [1]"), ["line 24", "fault.of", "1 nodes"]),
+            (
+                "worth = 1.0",
+                second("kind = 'upgrade'\nof = [0]\ndelay_s = 9"),
+                ["line 25", "fault.delay_s", "from 0 to 6"],
+            ),
+            (
+                "worth = 1.0",
+                second("kind = 'upgrade'\nof = [0]\nwhom = 'newer'"),
+                ["line 25", "fault.whom", "kill_in_upgrade only"],
+            ),
+            (
+                "worth = 1.0",
+                second("kind = 'upgrade'\nof = [0]\n[[fault]]\nat_s = 4.0\nkind = 'upgrade'\nof = [0]"),
+                ["line 26", "fault.at_s", "until 18 s"],
+            ),
             ("length_s = 5.0", "length_s = 0".into(), ["line 3", "length_s", "from 0.5"]),
         ];
         for (old, new, parts) in cases {
--- a/crates/lab/src/scripted.rs
+++ b/crates/lab/src/scripted.rs
@@ -1,11 +1,14 @@
 //! Owns a node of the lab's own that keeps all rules in the plainest way, or breaks one of them: by it the judge is proven,
-//! and the lab's own limit is found. It must never become clever: workers in turn, one retry of what never ran.
+//! and the lab's own limit is found. It must never become clever: workers in turn, one retry of what never ran, and what
+//! two processes of it share lies as files in their folder.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,7 +21,10 @@
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use parking_lot::Mutex;
 use serde::Deserialize;
-use tokio::sync::oneshot;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{oneshot, watch};
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 /// What a scripted node does wrong.
@@ -44,6 +50,26 @@
     Crash,
     /// It does not end when it is told to.
     DeafToTheEnd,
+    /// Told to end, it does so at once, with the jobs that it has.
+    DropsItsJobs,
+    /// Told to end, it accepts nothing more, and what is in its queue is reset.
+    ResetsItsQueue,
+    /// As the newer process it never says that it is ready.
+    NeverReady,
+    /// It says that it is ready while it is drained.
+    YesWhileDrained,
+    /// Clients' connections stay while it is drained.
+    HoldsConnections,
+    /// It stays drained.
+    StaysDrained,
+    /// Workers that are called out are sent work as before.
+    ForgetsBans,
+    /// Workers that are called back are never used again.
+    NeverBack,
+    /// Workers that were never listed are called out like others.
+    YesToAnyId,
+    /// Operators wait for their answers.
+    LateOnConsole,
 }
 
 impl fmt::Display for Flaw {
@@ -57,6 +83,7 @@
 struct Config {
     listen: SocketAddr,
     discovery: SocketAddr,
+    console: Option<SocketAddr>,
 }
 
 #[derive(Clone, Deserialize)]
@@ -90,6 +117,13 @@
     /// Who waits for the end of which attempt, by id and worker.
     waiting: Mutex<HashMap<(String, String), oneshot::Sender<Word>>>,
     turn: Mutex<usize>,
+    /// All names that were ever listed.
+    listed: Mutex<HashSet<String>>,
+    /// Clients on open connections are to go elsewhere.
+    sends_on: watch::Sender<bool>,
+    /// Shared with another process of this node: a file `drained`, one `out-NAME` for each worker that is out, and one
+    /// `calls-PID` with the address of each process for call-backs that came to the wrong one.
+    folder: PathBuf,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -105,41 +139,80 @@
     let path = std::env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set")?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
     let config: Config = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
-    let listener =
-        tokio::net::TcpListener::bind(config.listen).await.map_err(|e| format!("{}: {e}", config.listen))?;
-    let address = listener.local_addr().map_err(|e| e.to_string())?;
     let node = Arc::new(Node {
         flaw,
         workers: Mutex::default(),
         waiting: Mutex::default(),
         turn: Mutex::new(0),
+        listed: Mutex::default(),
+        sends_on: watch::Sender::new(false),
+        folder: std::env::temp_dir(),
         client: Client::builder(TokioExecutor::new()).build(HttpConnector::new()),
     });
+    let problem = |e: std::io::Error| e.to_string();
+    let mut ends =
+        tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate()).map_err(problem)?;
     tokio::spawn(node.clone().watch(config.discovery));
-    eprintln!("scripted node ({flaw}): serves on {address}");
-    let mut ends = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
-        .map_err(|e| e.to_string())?;
+    // A process that has no list yet must not take clients from one that has.
+    while node.workers.lock().is_empty() {
+        sleep(TURN).await;
+    }
+    let listener = listen(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+    let own = TcpListener::bind("127.0.0.1:0").await.map_err(problem)?;
+    let place = own.local_addr().map_err(problem)?;
+    std::fs::write(node.folder.join(format!("calls-{}", std::process::id())), place.to_string())
+        .map_err(problem)?;
+    tokio::spawn(node.clone().own_calls(own));
+    tokio::spawn(node.clone().heed_drains());
+    if let Some(console) = config.console {
+        let console = TcpListener::bind(console).await.map_err(|e| format!("{console}: {e}"))?;
+        tokio::spawn(node.clone().console(console));
+    }
+    eprintln!("scripted node ({flaw}): serves on {}", listener.local_addr().map_err(problem)?);
+    let mut open = JoinSet::new();
     loop {
-        let (stream, _) = tokio::select! {
+        tokio::select! {
             _ = ends.recv() => match flaw {
                 Flaw::DeafToTheEnd => continue,
-                _ => return Ok(()),
+                Flaw::DropsItsJobs => return Ok(()),
+                _ => break,
             },
-            accepted = listener.accept() => match accepted {
-                Ok(accepted) => accepted,
-                Err(_) => continue,
-            },
-        };
-        let _ = stream.set_nodelay(true);
-        let node = node.clone();
-        let service = service_fn(move |request| {
-            let node = node.clone();
-            async move { Ok::<_, Infallible>(node.respond(request).await) }
-        });
-        tokio::spawn(
-            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service),
-        );
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                open.spawn(node.clone().connection(stream));
+            }
+        }
+        while open.try_join_next().is_some() {}
+    }
+    if flaw == Flaw::ResetsItsQueue {
+        sleep(QUEUE_FILLS).await;
+    } else {
+        // What is in the queue already is for this process.
+        while let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await {
+            open.spawn(node.clone().connection(stream));
+        }
+        drop(listener);
     }
+    node.sends_on.send_replace(true);
+    let _ = timeout(LAST_JOBS, async { while open.join_next().await.is_some() {} }).await;
+    Ok(())
+}
+
+/// How often it looks at what may have changed.
+const TURN: Duration = Duration::from_millis(20);
+/// A queue that is to be reset fills for this.
+const QUEUE_FILLS: Duration = Duration::from_millis(1500);
+/// It ends after this, whatever clients still hold open.
+const LAST_JOBS: Duration = Duration::from_millis(3300);
+/// An operator is answered after this, where that is the flaw.
+const LATE: Duration = Duration::from_millis(1400);
+
+/// Beside another process that listens on the same address.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    socket.listen(1024)
 }
 
 fn reply(status: StatusCode, text: impl Into<Bytes>) -> Response<Full<Bytes>> {
@@ -171,6 +244,7 @@
     }
 
     fn listed(&self, message: Message) {
+        self.listed.lock().extend(message.endpoints.iter().map(|endpoint| endpoint.name.clone()));
         let mut workers = self.workers.lock();
         if message.snapshot {
             workers.clear();
@@ -196,24 +270,162 @@
         let mut turn = self.turn.lock();
         *turn += 1;
         let all = workers.len();
-        (0..all).map(|n| &workers[(*turn + n) % all]).find(|worker| !not.contains(&worker.name)).cloned()
+        (0..all)
+            .map(|n| &workers[(*turn + n) % all])
+            .find(|worker| !not.contains(&worker.name) && !self.out(&worker.name).exists())
+            .cloned()
+    }
+
+    /// The file that says that a worker is out.
+    fn out(&self, worker: &str) -> PathBuf {
+        self.folder.join(format!("out-{worker}"))
+    }
+
+    fn drained(&self) -> bool {
+        self.folder.join("drained").exists()
+    }
+
+    async fn heed_drains(self: Arc<Self>) {
+        let mut before = false;
+        loop {
+            let drained = self.drained();
+            if drained != before && self.flaw != Flaw::HoldsConnections {
+                self.sends_on.send_replace(drained);
+            }
+            before = drained;
+            sleep(TURN).await;
+        }
+    }
+
+    /// Serves one connection; once clients are to go elsewhere, one that has been used and is idle is closed.
+    async fn connection(self: Arc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let used = Arc::new(AtomicBool::new(false));
+        let mut sends_on = self.sends_on.subscribe();
+        let (node, first) = (self, used.clone());
+        let service = service_fn(move |request| {
+            let (node, first) = (node.clone(), first.clone());
+            async move {
+                let sends_on = node.sends_on.subscribe();
+                let mut reply = node.respond(request).await;
+                if *sends_on.borrow() {
+                    let close = hyper::header::HeaderValue::from_static("close");
+                    reply.headers_mut().insert(hyper::header::CONNECTION, close);
+                }
+                first.store(true, Ordering::Relaxed);
+                Ok::<_, Infallible>(reply)
+            }
+        });
+        let connection =
+            hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        loop {
+            tokio::select! {
+                _ = connection.as_mut() => return,
+                // One without a first request may have one on its way.
+                changed = sends_on.changed() => if changed.is_ok() && *sends_on.borrow_and_update()
+                    && used.load(Ordering::Relaxed)
+                {
+                    connection.as_mut().graceful_shutdown();
+                },
+            }
+        }
+    }
+
+    /// Call-backs that came to another process of this node.
+    async fn own_calls(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            tokio::spawn(self.clone().connection(stream));
+        }
+    }
+
+    /// Hands a call-back to the other processes of this node.
+    async fn pass_on(&self, body: Bytes) {
+        let own = format!("calls-{}", std::process::id());
+        for file in std::fs::read_dir(&self.folder).into_iter().flatten().flatten() {
+            let name = file.file_name().to_string_lossy().into_owned();
+            if !name.starts_with("calls-") || name == own {
+                continue;
+            }
+            let Ok(place) = std::fs::read_to_string(file.path()) else { continue };
+            let request = Request::post(format!("http://{place}/passed-on")).body(Full::new(body.clone()));
+            if let Ok(request) = request {
+                // One that is gone has no job that this could be for.
+                let _ = self.client.request(request).await;
+            }
+        }
+    }
+
+    /// Answers operators, each on a connection of its own.
+    async fn console(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            let node = self.clone();
+            tokio::spawn(async move {
+                let mut stream = BufReader::new(stream);
+                let mut line = String::new();
+                if stream.read_line(&mut line).await.is_err() {
+                    return;
+                }
+                let answer = match node.operate(&line) {
+                    Ok(()) => "+OK\n".to_owned(),
+                    Err(why) => format!("-ERR {why}\n"),
+                };
+                if node.flaw == Flaw::LateOnConsole {
+                    sleep(LATE).await;
+                }
+                let _ = stream.write_all(answer.as_bytes()).await;
+            });
+        }
+    }
+
+    fn operate(&self, line: &str) -> Result<(), &'static str> {
+        let set = |file: PathBuf, there: bool| {
+            let done = if there { std::fs::write(file, "") } else { std::fs::remove_file(file) };
+            done.or_else(|e| if there { Err(e) } else { Ok(()) }).map_err(|_| "the folder cannot be written")
+        };
+        let mut words = line.split_whitespace();
+        match (words.next(), words.next()) {
+            (Some("READY"), None) if self.flaw == Flaw::NeverReady => Err("not yet"),
+            (Some("READY"), None) => Ok(()),
+            (Some("DRAIN"), None) => set(self.folder.join("drained"), true),
+            (Some("UNDRAIN"), None) if self.flaw == Flaw::StaysDrained => Ok(()),
+            (Some("UNDRAIN"), None) => set(self.folder.join("drained"), false),
+            (Some("DISABLE" | "ENABLE"), Some(name))
+                if self.flaw != Flaw::YesToAnyId && !self.listed.lock().contains(name) =>
+            {
+                Err("never listed")
+            }
+            (Some("DISABLE"), Some(_)) if self.flaw == Flaw::ForgetsBans => Ok(()),
+            (Some("DISABLE"), Some(name)) => set(self.out(name), true),
+            (Some("ENABLE"), Some(_)) if self.flaw == Flaw::NeverBack => Ok(()),
+            (Some("ENABLE"), Some(name)) => set(self.out(name), false),
+            _ => Err("no such call"),
+        }
     }
 
     async fn respond(self: Arc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let path = request.uri().path().to_owned();
         if request.method() == Method::GET {
-            let ready = path == "/ready" && !self.workers.lock().is_empty();
+            let drained = self.drained() && self.flaw != Flaw::YesWhileDrained;
+            let ready = path == "/ready" && !self.workers.lock().is_empty() && !drained;
             return reply(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         let head = request.headers().clone();
         let Ok(body) = request.into_body().collect().await else { return reply(StatusCode::BAD_REQUEST, "") };
         let body = body.to_bytes();
-        if path == "/callback" {
+        if path == "/callback" || path == "/passed-on" {
             let Ok(call) = serde_json::from_slice::<Call>(&body) else {
                 return reply(StatusCode::BAD_REQUEST, "");
             };
-            if !matches!(call.state.as_str(), "started" | "running")
-                && let Some(waits) = self.waiting.lock().remove(&(call.id, call.from))
+            let key = (call.id, call.from);
+            if !self.waiting.lock().contains_key(&key) {
+                if path == "/callback" {
+                    self.pass_on(body).await;
+                }
+            } else if !matches!(call.state.as_str(), "started" | "running")
+                && let Some(waits) = self.waiting.lock().remove(&key)
             {
                 let _ = waits.send((call.state, call.result));
             }
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -119,6 +119,121 @@
     });
 }
 
+const DAILY: &str = r#"
+title = "operators' work"
+seed = 3
+length_s = 9.0
+[nodes]
+count = 2
+[fleet]
+workers = 4
+list_late_s = 0.1
+fetch_s = 0.02
+warm_up_s = 1.0
+[load]
+rate = 40.0
+retries = 0
+new_connections = 0.5
+[[class]]
+name = "order"
+share = 1.0
+mean_s = 0.15
+repeats = "unsafe"
+aim_s = 1.0
+stretch = 2.0
+give_up_s = 3.0
+worth = 1.0
+[[fault]]
+at_s = 0.5
+for_s = 4.5
+kind = "node_drain"
+of = [0]
+[[fault]]
+at_s = 0.5
+for_s = 2.5
+kind = "maintenance"
+of = [1]
+[[fault]]
+at_s = 1.0
+delay_s = 0.5
+kind = "upgrade"
+of = [1]
+"#;
+
+/// Plays a file on each scripted node at once; each must be judged with these words, or with none.
+fn judged(file: &Path, flaws: &[(&str, Option<&str>)]) {
+    let file = file.to_str().expect("a path");
+    std::thread::scope(|scope| {
+        for (flaw, words) in flaws {
+            scope.spawn(move || {
+                let out = run(file, &format!("judge-daily-{flaw}"), &["--scripted", flaw]);
+                let said = text(&out.stderr);
+                match words {
+                    None => assert!(matches!(out.status.code(), Some(0 | 3)) && said.is_empty(), "{said}"),
+                    Some(words) => {
+                        assert!(out.status.code() == Some(1) && said.contains(words), "{flaw}: {said}");
+                    }
+                }
+            });
+        }
+    });
+}
+
+#[test]
+fn the_judge_finds_what_a_scripted_node_does_wrong_in_upgrades_drains_and_maintenance() {
+    let file = folder("daily.toml");
+    std::fs::write(&file, DAILY).expect("a place");
+    judged(
+        &file,
+        &[
+            ("none", None),
+            ("drops-its-jobs", Some("had no answer from node 1: Some(Closed)")),
+            ("resets-its-queue", Some("an upgrade of node 1 harmed")),
+            ("never-ready", Some("did not say yes to READY within 6 s")),
+            ("yes-while-drained", Some("says yes 4 s after the call of its drain")),
+            ("holds-connections", Some("4 s after its drain:")),
+            ("stays-drained", Some("says no yes 2 s after the end of its drain")),
+            ("forgets-bans", Some("which is out")),
+            ("never-back", Some("not for 5 s after it was called back")),
+            ("late-on-console", Some("answered DRAIN after")),
+        ],
+    );
+    let upgrades = &figures("judge-daily-none")["daily"]["upgrades"];
+    assert!(upgrades[0]["ready_s"].is_number() && upgrades[0]["killed"] == false, "{upgrades}");
+}
+
+#[test]
+fn drills_end_by_themselves_with_a_table_and_find_what_is_wrong() {
+    let drill = |arguments: &[&str]| {
+        let out = folder(&format!("drill-{}", arguments.join("")));
+        Command::new(env!("CARGO_BIN_EXE_curlewusher-lab"))
+            .args(["drill", "--quiet", "--out"])
+            .arg(out)
+            .args(arguments)
+            .output()
+            .expect("the lab starts")
+    };
+    std::thread::scope(|scope| {
+        for (arguments, code, words) in [
+            (["upgrades", "--times", "2", "--delay", "0.3", "--scripted", "none"], 0, "jobs lost   "),
+            (
+                ["upgrades", "--times", "2", "--delay", "0.3", "--scripted", "resets-its-queue"],
+                1,
+                "  Upgrade",
+            ),
+            (["kills", "--times", "2", "--delay", "0.3", "--scripted", "none"], 0, "with a kill"),
+            (["calls", "--times", "1", "--delay", "0.3", "--scripted", "none"], 0, "ENABLE: calls"),
+            (["calls", "--times", "1", "--delay", "0.3", "--scripted", "yes-to-any-id"], 1, "  Console"),
+        ] {
+            scope.spawn(move || {
+                let out = drill(&arguments);
+                let right = out.status.code() == Some(code) || code == 0 && out.status.code() == Some(3);
+                assert!(right && text(&out.stdout).contains(words), "{arguments:?}: {out:?}");
+            });
+        }
+    });
+}
+
 #[test]
 fn an_interrupted_run_ends_its_nodes_and_still_writes_what_was_seen() {
     // The node's own log tells when the load has begun.
@@ -130,7 +245,7 @@
     std::fs::write(folder("long.toml"), long).expect("a place");
     let out = folder("interrupted");
     let _ = std::fs::remove_dir_all(&out);
-    let lab = Command::new(env!("CARGO_BIN_EXE_curlewusher-lab"))
+    let mut lab = Command::new(env!("CARGO_BIN_EXE_curlewusher-lab"))
         .args(["run", folder("long.toml").to_str().expect("a path"), "--quiet", "--out"])
         .arg(&out)
         .stdout(std::process::Stdio::piped())
@@ -138,6 +253,8 @@
         .expect("the lab starts");
     let log = |node: u32| std::fs::read_to_string(out.join(format!("n{node}.log"))).unwrap_or_default();
     while !log(0).contains("taken") {
+        let ended = lab.try_wait().expect("a child");
+        assert!(ended.is_none(), "it ended before its load began, {ended:?}: is the node built?");
         std::thread::yield_now();
     }
     let kill = Command::new("kill").args(["-INT", &lab.id().to_string()]).status().expect("kill is there");
