Kills in an upgrade excuse only what ended with the killed process; refusals are counted

Need: the judge took every job of the node for excused by a kill of one of its two processes, and an upgrade that closes the node to clients for a while showed nowhere. Change: a job is excused where its connection ended with the process; jobs turned away in an upgrade are counted.

--- a/crates/lab/src/daily.rs
+++ b/crates/lab/src/daily.rs
@@ -38,6 +38,8 @@
     pub killed: bool,
     /// Jobs that met a refused connection, or one that was reset before any worker had the job.
     pub harmed: usize,
+    /// Jobs that the node turned away (429, 503), or that found it closed to new connections.
+    pub refused: usize,
 }
 
 /// What was seen of daily operation.
@@ -149,6 +151,10 @@
                     window.harmed.insert(job);
                 }
             }
+            What::Unanswered { id, why: Missing::NoNode } | What::Answered { id, status: 429 | 503, .. } => {
+                let Some((_, node, _)) = self.tries.get(id.as_str()).copied() else { return };
+                self.window(node, at).into_iter().for_each(|window| window.figures.refused += 1);
+            }
             What::Arrived { id, node, worker, head_us, .. } => {
                 if let Some(one) = self.tries.get_mut(id.as_str()) {
                     one.2 = true;
--- a/crates/lab/src/drill.rs
+++ b/crates/lab/src/drill.rs
@@ -166,7 +166,7 @@
     let mut rules: BTreeMap<String, usize> = BTreeMap::new();
     breaches.iter().for_each(|breach| *rules.entry(format!("{:?}", breach.rule)).or_default() += 1);
     let lost = breaches.iter().filter(|breach| breach.rule == Rule::OneAnswer).count();
-    let mut line = |name: &str, value: String| _ = writeln!(out, "{name:<34}{value}");
+    let mut line = |name: &str, value: String| _ = writeln!(out, "{name:<40}{value}");
     line("jobs lost", lost.to_string());
     let upgrades = &daily.upgrades;
     if !upgrades.is_empty() {
@@ -174,6 +174,7 @@
         let harmed: usize = upgrades.iter().map(|upgrade| upgrade.harmed).sum();
         let most = upgrades.iter().map(|upgrade| upgrade.harmed).max().unwrap_or_default();
         line("jobs harmed an upgrade, max, mean", format!("{most}, {:.2}", harmed as f64 / count));
+        line("jobs refused, all", upgrades.iter().map(|upgrade| upgrade.refused).sum::<usize>().to_string());
         let times = |of: &dyn Fn(&crate::daily::Upgrade) -> Option<f64>| {
             let all: Vec<f64> = upgrades.iter().filter_map(of).collect();
             let mean = all.iter().sum::<f64>() / all.len().max(1) as f64;
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -113,6 +113,8 @@
     starts: HashMap<usize, Micros>,
     ends: HashMap<usize, Vec<(Micros, bool)>>,
     sigterms: HashMap<usize, Vec<Micros>>,
+    /// By node: when the lab killed one of its two processes.
+    kills: HashMap<usize, Vec<Micros>>,
     /// By node: upgrades, from their begin, over the first yes, to their end.
     upgrades: HashMap<usize, Vec<Window>>,
     found: Vec<(Rule, Micros, String, Option<&'a str>)>,
@@ -197,10 +199,7 @@
                 // Its next process has been told nothing.
                 self.told.retain(|(of, _), _| of != node);
             }
-            // The node goes on; what the process that was killed had is lost with it.
-            What::ProcessGone { node, killed: true, .. } => {
-                self.ends.entry(*node).or_default().push((at, true));
-            }
+            What::ProcessGone { node, killed: true, .. } => self.kills.entry(*node).or_default().push(at),
             What::UpgradeBegan { node } => {
                 let window = Window { began: at, ready: None, ended: None };
                 self.upgrades.entry(*node).or_default().push(window);
@@ -234,13 +233,18 @@
         }
     }
 
-    /// Whether a try met a connection that a node in an upgrade reset unread: harm, which is counted elsewhere, and no loss.
+    /// Whether a try's connection ended in an upgrade without a loss that anybody is blamed for: a node reset it unread,
+    /// which is harm and counted elsewhere, or it ended with the process that the lab killed. What the other process holds
+    /// is still to be answered: its connection stays.
     fn harmed(&self, one: &Try) -> bool {
-        let Some((at, Missing::Reset)) = one.missing else { return false };
-        let within = |window: &Window| {
+        let Some((at, why @ (Missing::Reset | Missing::Closed))) = one.missing else { return false };
+        let of = |window: &Window| {
             window.began <= at && window.ended.is_none_or(|ended| at <= ended + daily::AFTERMATH)
         };
-        one.attempts.is_empty() && self.upgrades.get(&one.node).into_iter().flatten().any(within)
+        let within = self.upgrades.get(&one.node).into_iter().flatten().any(of);
+        let mut kills = self.kills.get(&one.node).into_iter().flatten();
+        within && why == Missing::Reset && one.attempts.is_empty()
+            || kills.any(|kill| kill.abs_diff(at) <= daily::AFTERMATH)
     }
 
     fn answered(&mut self, at: Micros, id: &'a str, status: u16, good: bool, rules: &Rules) {
@@ -470,6 +474,44 @@
         }
     }
 
+    #[test]
+    fn in_an_upgrade_what_was_never_read_is_harm_and_what_a_living_process_holds_is_owed() {
+        let missing = |at, why| (at, What::Unanswered { id: "r".into(), why });
+        let began = (5, What::UpgradeBegan { node: 0 });
+        let ended = |at| (at, What::UpgradeEnded { node: 0 });
+        let killed = (200_000, What::ProcessGone { node: 0, newer: false, killed: true });
+        for (seen, broken) in [
+            (vec![began.clone(), asked(9, 2), missing(99, Missing::Reset)], false),
+            (vec![began.clone(), asked(9, 2), missing(99, Missing::Closed)], true),
+            (vec![began.clone(), asked(9, 2), arrived(20, 1, 1), missing(99, Missing::Reset)], true),
+            (vec![began.clone(), ended(7), asked(9, 2), missing(500_007, Missing::Reset)], false),
+            (vec![began.clone(), ended(7), asked(9, 2), missing(500_008, Missing::Reset)], true),
+            (vec![began.clone(), asked(9, 2), arrived(20, 1, 1), killed.clone()], true),
+            (vec![began.clone(), asked(9, 2), killed.clone(), missing(200_100, Missing::Closed)], false),
+            (vec![began.clone(), asked(9, 2), killed.clone(), missing(900_000, Missing::Closed)], true),
+            (vec![began, asked(9, 2), killed, missing(900_000, Missing::Late)], true),
+        ] {
+            assert_eq!(!found(&seen).is_empty(), broken, "{seen:?}");
+        }
+    }
+
+    #[test]
+    fn a_newer_process_is_bound_by_the_list_2_s_after_its_first_yes() {
+        let told = (100_000, What::Told { node: 0, worker: 1, in_service: false, started_us: 0 });
+        let began = |at| (at, What::UpgradeBegan { node: 0 });
+        let ready = (200_000, What::NewerReady { node: 0 });
+        for (seen, at, broken) in [
+            (vec![began(5), told.clone(), ready.clone()], 3_000_000, false),
+            (vec![began(5), told.clone(), ready.clone()], 3_000_001, true),
+            (vec![told.clone(), began(150_000), ready.clone()], 950_000, true),
+            (vec![began(5), told], 9_000_000, false),
+        ] {
+            let last = [(at, asked(0, 0).1), arrived(at, 1, 1), answered(at + 9, 200)];
+            let seen: Vec<_> = seen.into_iter().chain(last).collect();
+            assert_eq!(found(&seen), if broken { vec![Rule::QuietDrain] } else { vec![] }, "{seen:?}");
+        }
+    }
+
     #[test]
     fn a_worker_that_drains_is_left_alone_in_time_until_it_is_in_service_again() {
         let told = |at, in_service| (at, What::Told { node: 0, worker: 1, in_service, started_us: 0 });
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -257,12 +257,13 @@
     let upgrade = |u: &daily::Upgrade| {
         let kill = if u.killed { ", one process killed" } else { "" };
         format!(
-            "upgrade of node {} at {:.1} s: newer ready {}, one process again {}, {} jobs harmed{kill}",
+            "upgrade of node {} at {:.1} s: newer ready {}, one process again {}, {} jobs harmed, {} refused{kill}",
             u.node,
             u.at_s,
             seconds(u.ready_s),
             seconds(u.ended_s),
-            u.harmed
+            u.harmed,
+            u.refused
         )
     };
     let call = |(call, (count, slowest)): (&String, &(usize, f64))| {
@@ -339,7 +340,7 @@
                 (plot(&of_nodes(&|s| s.descriptors as f64), length, None, &bands, "s", "open"))
                 h2 { "Attempts by worker" }
                 (plot(&[("attempts".into(), load)], figures.attempts_of_worker.len() as f64, None, &[], "worker", "attempts"))
-                @if !figures.daily.calls.is_empty() {
+                @if !daily_lines(&figures.daily).is_empty() {
                     h2 { "Operators' work" }
                     ul { @for line in daily_lines(&figures.daily) { li { (line) } } }
                 }
