--- a/crates/lab/src/console.rs
+++ b/crates/lab/src/console.rs
@@ -53,13 +53,13 @@
     Said { line, took_us: begin.elapsed().as_micros() as Micros, refused }
 }
 
-/// No address for a second address.
+/// No address for a node.
 #[derive(Debug, Error)]
-#[error("no port for operators' calls on 127.0.0.2: {0}; free some ports, or allow that address")]
+#[error("no port for a node on 127.0.0.2: {0}; free some ports, or allow that address")]
 pub struct NoPlace(#[from] std::io::Error);
 
-/// A free address for a second address. It lies beside the one that all connections of the lab come from, so that no
-/// connection takes its port before the node listens there.
+/// A free address for a node that must know it before it starts. It lies beside the one that all connections of the lab
+/// come from, so that no connection takes its port before the node listens there.
 pub fn free_place() -> Result<SocketAddr, NoPlace> {
     Ok(std::net::TcpListener::bind("127.0.0.2:0")?.local_addr()?)
 }
--- a/crates/lab/src/daily.rs
+++ b/crates/lab/src/daily.rs
@@ -40,6 +40,8 @@
     pub harmed: usize,
     /// Jobs that the node turned away (429, 503), or that found it closed to new connections.
     pub refused: usize,
+    /// How often the front heard no where it had heard yes: it takes the one node for closed.
+    pub noes: usize,
 }
 
 /// What was seen of daily operation.
@@ -182,7 +184,12 @@
                     rules,
                 );
             }
-            What::Said { node, ready } => self.said.entry(*node).or_default().push((at, *ready)),
+            What::Said { node, ready } => {
+                if let (Ready::No, Some(window)) = (ready, self.window(*node, at)) {
+                    window.figures.noes += 1;
+                }
+                self.said.entry(*node).or_default().push((at, *ready));
+            }
             What::Standing { node, idle, fresh } => {
                 if idle + fresh > 0 {
                     let words = format!(
--- a/crates/lab/src/drill.rs
+++ b/crates/lab/src/drill.rs
@@ -175,6 +175,10 @@
         let most = upgrades.iter().map(|upgrade| upgrade.harmed).max().unwrap_or_default();
         line("jobs harmed an upgrade, max, mean", format!("{most}, {:.2}", harmed as f64 / count));
         line("jobs refused, all", upgrades.iter().map(|upgrade| upgrade.refused).sum::<usize>().to_string());
+        line(
+            "times no to /ready, all",
+            upgrades.iter().map(|upgrade| upgrade.noes).sum::<usize>().to_string(),
+        );
         let times = |of: &dyn Fn(&crate::daily::Upgrade) -> Option<f64>| {
             let all: Vec<f64> = upgrades.iter().filter_map(of).collect();
             let mean = all.iter().sum::<f64>() / all.len().max(1) as f64;
--- a/crates/lab/src/play.rs
+++ b/crates/lab/src/play.rs
@@ -191,6 +191,8 @@
     pub async fn start_node(&self, number: usize, listen: SocketAddr) -> Result<(), StartError> {
         let discovery = self.fleet.discovery_for(number).await.map_err(StartError::Discovery)?;
         let console = if self.consoles { Some(free_place()?) } else { None };
+        // Both processes of an upgrade are told the same address, so that it cannot be left to the system.
+        let listen = if self.consoles && listen.port() == 0 { free_place()? } else { listen };
         let temporary = self.temporary.join(format!("n{number}"));
         let place = Place { number, version: 0, listen, discovery, console, temporary };
         let node = Node::start(&self.program, &self.scenario, place).await?;
