--- a/crates/lab/src/drill.rs
+++ b/crates/lab/src/drill.rs
@@ -1,5 +1,5 @@
-//! Owns the drills: one thing that operators do, many times after another on one node under load, and the table of what
-//! came of it. It must never judge: the table counts what the judge found.
+//! Owns the drills: one thing that operators do, many times after another on one node under load, and the
+//! table of what came of it. It must never judge: the table counts what the judge found.
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -126,8 +126,8 @@
         sleep(AFTER).await;
     }
 
-    /// One round of calls: a worker out, out again and back, one that was never listed, words that are no call; and
-    /// callers that connect and finish nothing.
+    /// One round of calls: a worker out, out again and back, one that was never listed, words that are no
+    /// call; and callers that connect and finish nothing.
     async fn calls(&self, round: usize) {
         let mut random = stream(self.scenario.seed, &format!("drill-{round}"));
         let Some(console) = self.nodes[0].lock().await.console else { return };
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -1,5 +1,5 @@
-//! Owns the four rules on jobs, and finds from what the stand-ins saw where a node broke one; a node may be two processes.
-//! It must never share code with the node, nor believe it.
+//! Owns the four rules on jobs, and finds from what the stand-ins saw where a node broke one; a node may be
+//! two processes. It must never share code with the node, nor believe it.
 
 use std::collections::HashMap;
 use std::fmt;
@@ -233,9 +233,9 @@
         }
     }
 
-    /// Whether a try's connection ended in an upgrade without a loss that anybody is blamed for: a node reset it unread,
-    /// which is harm and counted elsewhere, or it ended with the process that the lab killed. What the other process holds
-    /// is still to be answered: its connection stays.
+    /// Whether a try's connection ended in an upgrade without a loss that anybody is blamed for: a node reset
+    /// it unread, which is harm and counted elsewhere, or it ended with the process that the lab killed. What
+    /// the other process holds is still to be answered: its connection stays.
     fn harmed(&self, one: &Try) -> bool {
         let Some((at, why @ (Missing::Reset | Missing::Closed))) = one.missing else { return false };
         let of = |window: &Window| {
--- a/crates/lab/src/links.rs
+++ b/crates/lab/src/links.rs
@@ -1,5 +1,5 @@
-//! Owns the clients' connections to the nodes: which are held, which bear a job, and how a job ended on one. It must never
-//! choose a node, and never hide from the judge that a connection was reset.
+//! Owns the clients' connections to the nodes: which are held, which bear a job, and how a job ended on one.
+//! It must never choose a node, and never hide from the judge that a connection was reset.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -70,8 +70,8 @@
         (of.idle.len(), of.busy.values().filter(|sent| sent.elapsed() < FRESH).count())
     }
 
-    /// Sends a request on a connection that was taken, or on a new one, and reads the answer. With `keep` the connection
-    /// is held afterwards if the node allows that.
+    /// Sends a request on a connection that was taken, or on a new one, and reads the answer. With `keep` the
+    /// connection is held afterwards if the node allows that.
     pub async fn send(
         &self,
         node: usize,
@@ -104,8 +104,8 @@
     }
 }
 
-/// Whether the node has left a connection open on which nothing is asked. Asks the system: what the runtime knows of a
-/// socket is a turn old.
+/// Whether the node has left a connection open on which nothing is asked. Asks the system: what the runtime
+/// knows of a socket is a turn old.
 fn is_open(stream: &TcpStream) -> bool {
     let mut byte = [std::mem::MaybeUninit::uninit()];
     matches!(socket2::SockRef::from(stream).peek(&mut byte), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
@@ -119,8 +119,8 @@
     let mut text = Vec::with_capacity(512);
     loop {
         match stream.read_buf(&mut text).await {
-            // A node that had read all ends with an end; where it had not, the system resets the connection, which shows
-            // on the socket beside the end.
+            // A node that had read all ends with an end; where it had not, the system resets the connection,
+            // which shows on the socket beside the end.
             Ok(0) if text.is_empty() && matches!(stream.take_error(), Ok(None)) => {
                 return Err(Missing::Closed);
             }
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -24,8 +24,8 @@
 const LONGEST_ADVICE: f64 = 2.0;
 /// The front asks every node so often.
 const PROBES: Duration = Duration::from_millis(100);
-/// After the first no, new connections still come for this, microseconds; where nothing is said, for longer: one probe
-/// that is lost is not the end of a node.
+/// After the first no, new connections still come for this, microseconds; where nothing is said, for longer:
+/// one probe that is lost is not the end of a node.
 const AFTER_NO: Micros = 200_000;
 const AFTER_SILENCE: Micros = 2_000_000;
 
@@ -96,7 +96,8 @@
         }
     }
 
-    /// The next node in turn that takes new connections, or to which one is held: those stay in use while they are open.
+    /// The next node in turn that takes new connections, or to which one is held: those stay in use while
+    /// they are open.
     fn pick(&self, new_ones: bool) -> Option<Way> {
         let first = self.next.fetch_add(1, Ordering::Relaxed);
         let all = self.closes.len();
--- a/crates/lab/src/record.rs
+++ b/crates/lab/src/record.rs
@@ -103,8 +103,8 @@
         said: Option<String>,
         took_us: Micros,
     },
-    /// What clients hold open to a node 4 s after the call of its drain: idle connections, and those that bear a job
-    /// which was sent in the last 2 s.
+    /// What clients hold open to a node 4 s after the call of its drain: idle connections, and those that
+    /// bear a job which was sent in the last 2 s.
     Standing {
         node: usize,
         idle: usize,
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -267,9 +267,11 @@
     NodeKill,
     /// An operator drains a node, and ends the drain after `for_s`.
     NodeDrain,
-    /// An operator calls a worker out on all nodes, and back after `for_s`; half way it is started again, cold.
+    /// An operator calls a worker out on all nodes, and back after `for_s`; half way it is started again,
+    /// cold.
     Maintenance,
-    /// A newer process of a node is started beside it; the older one gets SIGTERM once that is ready, and a drawn time.
+    /// A newer process of a node is started beside it; the older one gets SIGTERM once that is ready, and a
+    /// drawn time.
     Upgrade,
     /// The same, and one of both is killed at a drawn moment.
     KillInUpgrade,
@@ -302,8 +304,8 @@
 
 /// SIGTERM comes this long after the yes of a newer process at the most, s.
 pub const LONGEST_DELAY_S: f64 = 6.0;
-/// An upgrade lasts as long as its drawn delay can be and this: the newer process says yes within 6 s, the older one is
-/// killed 3.7 s after SIGTERM, and the starts take a moment.
+/// An upgrade lasts as long as its drawn delay can be and this: the newer process says yes within 6 s, the
+/// older one is killed 3.7 s after SIGTERM, and the starts take a moment.
 const UPGRADE_LASTS_S: f64 = 10.0;
 /// Memory of a node, both of its processes together, MB.
 pub const MEMORY_MB: f64 = 192.0;
--- a/crates/lab/src/scripted.rs
+++ b/crates/lab/src/scripted.rs
@@ -1,6 +1,6 @@
 //! Owns a node of the lab's own that keeps all rules in the plainest way, or breaks one of them: by it the judge is proven,
-//! and the lab's own limit is found. It must never become clever: workers in turn, one retry of what never ran, and what
-//! two processes of it share lies as files in their folder.
+//! and the lab's own limit is found. It must never become clever: workers in turn, one retry of what never
+//! ran, and what two processes of it share lies as files in their folder.
 
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
@@ -121,8 +121,8 @@
     listed: Mutex<HashSet<String>>,
     /// Clients on open connections are to go elsewhere.
     sends_on: watch::Sender<bool>,
-    /// Shared with another process of this node: a file `drained`, one `out-NAME` for each worker that is out, and one
-    /// `calls-PID` with the address of each process for call-backs that came to the wrong one.
+    /// Shared with another process of this node: a file `drained`, one `out-NAME` for each worker that is
+    /// out, and one `calls-PID` with the address of each process for call-backs that came to the wrong one.
     folder: PathBuf,
     client: Client<HttpConnector, Full<Bytes>>,
 }
