Slow clients are waited for while they get on; an estranged process leaves call-backs to be repeated

Change: 2.7 s from a request's beginning, or its connection's where it is the first; only one that has stood still for 800 ms makes way. A process whose $TMPDIR cannot be used answers call-backs for ids that it does not hold with 503.

--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -932,17 +932,30 @@
 
 /// The other process of this node, as far as this one is linked to it: the one place where all parts look for it.
 #[derive(Clone, Default)]
-pub struct Peer(Rc<RefCell<Option<Link>>>);
+pub struct Peer {
+    link: Rc<RefCell<Option<Link>>>,
+    estranged: Rc<Cell<bool>>,
+}
 
 impl Peer {
     /// The link, while it is up.
     pub fn link(&self) -> Option<Link> {
-        self.0.borrow().clone().filter(Link::up)
+        self.link.borrow().clone().filter(Link::up)
     }
 
     /// There is another from now on, or none.
     pub fn set(&self, link: Option<Link>) {
-        *self.0.borrow_mut() = link;
+        *self.link.borrow_mut() = link;
+    }
+
+    /// Whether another process may serve beside this one that it cannot reach.
+    pub fn estranged(&self) -> bool {
+        self.estranged.get()
+    }
+
+    /// Another process may be there, since the place where both meet cannot be used; or it is known that none is.
+    pub fn estrange(&self, estranged: bool) {
+        self.estranged.set(estranged);
     }
 }
 
--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -55,11 +55,11 @@
 const LONGEST_WAIT: f64 = 86_400.0;
 /// No head is longer; hyper buffers no more than this either.
 const LONGEST_HEAD: usize = 16 << 10;
-/// A connection's first head, and the rest of any request that has begun, come within this. What cannot be read
-/// is owed an answer or a close within 3 s.
-const READ_TIME: Duration = Duration::from_millis(2000);
-/// A body comes within this, which leaves time to say so.
-const BODY_TIME: Duration = Duration::from_millis(1800);
+/// A request that has begun, or a connection on which nothing comes, has this long. Good clients take up to 2 s to write
+/// one; what cannot be read is owed an answer or a close within 3 s of its connection.
+const READ_TIME: Duration = Duration::from_millis(2700);
+/// A body comes so long before the end of that time, which leaves time to say so.
+const SAYING_SO: Duration = Duration::from_millis(150);
 /// How often connections are looked through for those that have used up their time.
 const LOOK: Duration = Duration::from_millis(100);
 /// The most slots that a job can ask for.
@@ -72,7 +72,7 @@
 /// A connection makes way for others no sooner than this after it came, was last answered, or began a request.
 const YOUNG: Duration = Duration::from_millis(50);
 const SETTLED: Duration = Duration::from_millis(200);
-const SLOW: Duration = Duration::from_millis(500);
+const SLOW: Duration = Duration::from_millis(800);
 /// A job that could not move to the other process is tried again after this.
 const MOVE_AGAIN: Duration = Duration::from_millis(20);
 /// Answers must be written and connections closed within this at the end.
@@ -98,6 +98,9 @@
     stage: Cell<Stage>,
     /// When it came to that stage.
     since: Cell<Instant>,
+    /// When the request that is being read began, or the connection where it is the first; and when it last got on.
+    begun: Cell<Instant>,
+    heard: Cell<Instant>,
     /// Next hops' connections stay open while this node drains: it waits for what they have to say.
     next_hop: Cell<bool>,
     /// What it is sending has used up its time, or must make way.
@@ -116,8 +119,13 @@
 
 impl Caller {
     fn enter(&self, stage: Stage) {
+        let now = Instant::now();
+        if stage == Stage::Reading && self.stage.get() != Stage::New {
+            self.begun.set(now);
+        }
         self.stage.set(stage);
-        self.since.set(Instant::now());
+        self.since.set(now);
+        self.heard.set(now);
         if let Some(waker) = self.follows.take() {
             waker.wake();
         }
@@ -138,12 +146,11 @@
 
     /// Whether its time is up.
     fn overdue(&self, idle: Duration) -> bool {
-        let most = match self.stage.get() {
-            Stage::New | Stage::Reading => READ_TIME,
-            Stage::Idle => idle,
-            Stage::Busy => return false,
-        };
-        self.since.get().elapsed() >= most
+        match self.stage.get() {
+            Stage::New | Stage::Reading => self.begun.get().elapsed() >= READ_TIME,
+            Stage::Idle => self.since.get().elapsed() >= idle,
+            Stage::Busy => false,
+        }
     }
 
     /// Whether its client can go on elsewhere unharmed: it has sent nothing, and for so long that nothing of it is
@@ -154,13 +161,13 @@
 
     /// Whether it can make way. A young one may have sent a request that was not read yet.
     fn can_yield(&self) -> bool {
-        let least = match self.stage.get() {
-            Stage::New => YOUNG,
-            Stage::Reading => SLOW,
-            Stage::Idle => SETTLED,
-            Stage::Busy => return false,
-        };
-        self.since.get().elapsed() >= least
+        match self.stage.get() {
+            Stage::New => self.since.get().elapsed() >= YOUNG,
+            // One that gets on is a slow client's; one that has stopped half way is nobody's.
+            Stage::Reading => self.heard.get().elapsed() >= SLOW,
+            Stage::Idle => self.since.get().elapsed() >= SETTLED,
+            Stage::Busy => false,
+        }
     }
 }
 
@@ -277,6 +284,7 @@
             if part.filled().is_empty() {
                 return Poll::Ready(Ok(()));
             }
+            this.caller.heard.set(Instant::now());
             this.held.extend_from_slice(part.filled());
         }
     }
@@ -575,6 +583,8 @@
                     let caller = Rc::new(Caller {
                         stage: Cell::new(Stage::New),
                         since: Cell::new(Instant::now()),
+                        begun: Cell::new(Instant::now()),
+                        heard: Cell::new(Instant::now()),
                         next_hop: Cell::new(false),
                         cut: Cell::new(false),
                         last: Cell::new(false),
@@ -755,7 +765,9 @@
         if request.size_hint().lower() > LONGEST_BODY as u64 {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB".into()));
         }
-        match timeout(BODY_TIME, Limited::new(request, LONGEST_BODY).collect()).await {
+        let spent = self.caller.as_ref().map_or(Duration::ZERO, |caller| caller.begun.get().elapsed());
+        let left = (READ_TIME - SAYING_SO).saturating_sub(spent);
+        match timeout(left, Limited::new(request, LONGEST_BODY).collect()).await {
             Ok(Ok(body)) => {
                 if let Some(caller) = &self.caller {
                     caller.enter(Stage::Busy);
@@ -776,25 +788,21 @@
         }
         let body = self.body(request.into_body()).await?;
         let (id, from, word) = Callback::read(&body).map_err(bad)?;
-        let (holder, asked) = match self.shared.peer.link() {
-            Some(link) => {
-                let (holder, holds) = oneshot::channel();
-                (Some(holder), Some((link, holds)))
-            }
-            None => (None, None),
-        };
+        let (link, estranged) = (self.shared.peer.link(), self.shared.peer.estranged());
+        let (holder, holds) = oneshot::channel();
+        let holder = (link.is_some() || estranged).then_some(holder);
+        let asks = holder.is_some();
         if self.shared.queue.send(Notice::Told { id, from, word, holder }).await.is_err() {
             return Err((StatusCode::SERVICE_UNAVAILABLE, "this node has ended".into()));
         }
-        let heard = match asked {
-            Some((link, holds)) => match holds.await {
-                Ok(Holder::OnItsWay) => false,
-                Ok(holder) if route(holder == Holder::Here, link.up()) == Route::PassOn => {
-                    link.word(body).await != Heard::Unheard
-                }
-                _ => true,
-            },
-            None => true,
+        let holder = if asks { holds.await.unwrap_or(Holder::Here) } else { Holder::Here };
+        let linked = link.as_ref().is_some_and(|link| link.up());
+        let heard = match (holder, route(holder == Holder::Here, linked), link) {
+            (Holder::OnItsWay, ..) => false,
+            (_, Route::PassOn, Some(link)) => link.word(body).await != Heard::Unheard,
+            // Another process may be there that this one cannot reach: a repeat may find it.
+            (Holder::Elsewhere, ..) => !estranged,
+            _ => true,
         };
         if heard {
             return Ok(reply(StatusCode::NO_CONTENT, ""));
--- a/crates/node/src/upgrade.rs
+++ b/crates/node/src/upgrade.rs
@@ -187,6 +187,8 @@
         listed: bool,
     ) -> (Reach, impl Future<Output = ()>) {
         let Beginning { place, turn, elder } = beginning;
+        // Without a turn something kept it from asking whether another serves.
+        parts.operations.peer.estrange(place.is_some() && turn.is_none());
         let (node, listen) = (parts.operations.name.clone(), parts.listen.to_string());
         let (succession, deeds) = match elder {
             Some(_) => Succession::welcomed(&node, &listen),
@@ -448,7 +450,10 @@
         let Some(place) = &self.place else { return };
         match Seat::sit(place, self.hellos.clone()) {
             Ok(seat) => *self.seat.borrow_mut() = Some(seat),
-            Err(problem) => warn!(target: NODE, "no successor can find this process: {problem}"),
+            Err(problem) => {
+                self.parts.operations.peer.estrange(true);
+                warn!(target: NODE, "no successor can find this process: {problem}");
+            }
         }
         // Whoever starts next finds this one now.
         self.turn = None;
