A node that ends sends on at once what it cannot end and another may run

Change: `outlasts` looks at what is out too: a job that may run twice and would run longer than the node is refused at once. What may not run twice still fails at the end. A test holds which of three running jobs goes on.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -82,8 +82,7 @@
 pub(crate) const SURVEY_LIFE: Micros = 4_000;
 /// Open jobs are looked at this often.
 pub(crate) const SWEEP: Micros = 10_000;
-/// A worker that operators put back is tried with the first job that would be in time there, and after this with
-/// any; one that may be repeated, s.
+/// A worker that operators put back is tried with a repeatable job in time, after this with any such, s.
 const OWED_SPAN: f64 = 1.5;
 /// A cold worker's budget is used up to this share: hints are rough.
 const COLD_MARGIN: f64 = 0.4;
@@ -627,7 +626,7 @@
     pub(crate) fn look_again(&mut self, now: Micros, id: JobId, out: &mut Vec<Action>) {
         let Some(mut job) = self.jobs.remove(&id) else { return };
         let idle = job.live().next().is_none();
-        if now + 2 * SWEEP >= job.deadline.min(self.ends) || idle && self.outlasts(now, &job) {
+        if now + 2 * SWEEP >= job.deadline.min(self.ends) || self.outlasts(now, &job) {
             // The client is about to stop waiting, or this node to end: an answer must be out before.
             self.answer(&mut job, out);
         } else if idle && since(now, job.aim_at) < HOPELESS * self.sure_run(&job)
@@ -643,9 +642,13 @@
         self.keep(job);
     }
 
-    /// Whether this node ends before a job that is not out could be served: another is its better chance.
+    /// Whether this node ends before a job is likely to be served, and another may run it: its better chance.
     fn outlasts(&self, now: Micros, job: &Job) -> bool {
-        secs(self.ends) < secs(now) + job.work / self.fleet.all.speed
+        let left = since(now, self.ends);
+        match job.live().next() {
+            None => left < job.work / self.fleet.all.speed,
+            Some(out) => self.repeatable(job) && self.rest(now, job.id, out).is_some_and(|rest| rest > left),
+        }
     }
 
     fn give_up(&mut self, now: Micros, job: &mut Job, out: &mut Vec<Action>) {
--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -259,6 +259,14 @@
         }
     }
 
+    /// Seconds that an attempt which is out is likely to run on. Only a node that ends asks, so that others need not
+    /// reckon it.
+    pub(crate) fn rest(&self, now: Micros, job: JobId, (attempt, worker): (u32, WorkerId)) -> Option<f64> {
+        let at = self.fleet.find(worker).filter(|_| self.ends < Micros::MAX)?;
+        let speed = self.fleet.workers[at].speed;
+        Some(self.remaining(now, speed, self.flight(job, attempt, worker)?) / speed)
+    }
+
     /// w: seconds that the unended work at a worker, own and told, keeps a job waiting there. With one slot
     /// that is all of it over the speed; with several, until as many are free as the job takes.
     pub(crate) fn wait(&self, now: Micros, w: &Worker, slots: f64) -> f64 {
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -1161,3 +1161,18 @@
     assert!(failed(&younger.end(11, 0, Outcome::Lost)));
     assert_eq!(sent(&younger.end(12, 0, Outcome::Done)), Some(1 - first));
 }
+
+#[test]
+fn a_node_that_ends_sends_on_at_once_what_it_could_not_end_and_may_run_twice() {
+    let mut node = Node::new(settings(), &fleet(3));
+    // Two long jobs, one of which must not run again, and a short one: all run.
+    for (job, class, work) in [(1, 0, 1.5), (2, 2, 1.5), (3, 0, 0.2)] {
+        assert!(sent(&node.offer(job, class, work)).is_some());
+        node.start(job, 0);
+    }
+    let said = node.tell(Event::Ending { by: node.now + SECOND });
+    let refused: Vec<_> =
+        said.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail { .. })).collect();
+    assert!(matches!(refused[..], [Action::Refuse { job: JobId(1), .. }]), "{said:?}");
+    assert!(said.contains(&Action::Cancel { job: JobId(1), attempt: 0 }));
+}
