Addresses that cannot be used end the node with 2; a taken console panics no more

Need: a start on an address that another program has ended with 1, as any failure does, and where it was the second address the main thread panicked: console::open made its runtime before it listened, and dropped it, when it could not, within the node's own runtime, which tokio does not allow. The operator saw a panic in place of the line. Change: the listener is bound first, and the runtime is made and dropped on the console's own thread. What serve was told and cannot use is a Problem::Configuration and ends it with 2, as check does; anything else still ends with 1.

--- a/crates/node/src/console.rs
+++ b/crates/node/src/console.rs
@@ -10,11 +10,11 @@
 use curlewusher_operation::call::{Call, CallError, LONGEST_LINE, Refusal, Verdict, answer};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
-use tracing::warn;
+use tracing::{error, warn};
 
 use crate::lifecycle::{Lifecycle, Phase};
 use crate::logs::NODE;
@@ -30,7 +30,6 @@
 const DONE_WITHIN: Duration = Duration::from_millis(900);
 const WRITE_TIME: Duration = Duration::from_millis(500);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-const BACKLOG: u32 = 128;
 /// Calls that wait for the node's task.
 const CALLS_ROOM: usize = 64;
 
@@ -54,28 +53,31 @@
     lifecycle: Lifecycle,
 ) -> Result<(SocketAddr, mpsc::Receiver<Handed>), ConsoleError> {
     let address = |cause| ConsoleError::Address { at, cause };
-    let runtime =
-        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(ConsoleError::Thread)?;
-    let listener = {
-        // The socket belongs to the runtime that will wait for it.
-        let _inside = runtime.enter();
-        listen(at).map_err(address)?
-    };
+    let listener = std::net::TcpListener::bind(at).map_err(address)?;
+    listener.set_nonblocking(true).map_err(address)?;
     let at = listener.local_addr().map_err(address)?;
     let (hand, handed) = mpsc::channel(CALLS_ROOM);
-    let serve = move || runtime.block_on(take_callers(listener, lifecycle, hand));
+    // The runtime is made on its thread: where there is none it would be dropped here, within another, and panic.
+    let serve = move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        runtime.block_on(take_callers(listener, lifecycle, hand))
+    };
+    let serve = move || {
+        if let Err(e) = serve() {
+            // The channel is closed by this, which ends the program.
+            error!(target: NODE, "console: {at}: {e}");
+        }
+    };
     std::thread::Builder::new().name("console".into()).spawn(serve).map_err(ConsoleError::Thread)?;
     Ok((at, handed))
 }
 
-fn listen(at: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if at.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.bind(at)?;
-    socket.listen(BACKLOG)
-}
-
-async fn take_callers(listener: TcpListener, lifecycle: Lifecycle, hand: mpsc::Sender<Handed>) {
+async fn take_callers(
+    listener: std::net::TcpListener,
+    lifecycle: Lifecycle,
+    hand: mpsc::Sender<Handed>,
+) -> io::Result<()> {
+    let listener = TcpListener::from_std(listener)?;
     let mut callers: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         match listener.accept().await {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -22,6 +22,7 @@
 use std::process::ExitCode;
 
 use clap::{CommandFactory, Parser, Subcommand};
+use serve::Problem;
 
 /// Takes jobs from clients, sends each to one of many unlike workers, and answers every one of them once.
 ///
@@ -39,7 +40,8 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Serve until SIGTERM; the same without any command
+    /// Serve until SIGTERM; the same without any command. Ends with 2 if what it is told cannot be used here, as an
+    /// address that another program has, and with 1 if it fails otherwise
     Serve,
     /// Read all configuration, print each value in effect and where it comes from, and end with 0, or 2 if it is bad
     Check,
@@ -53,9 +55,9 @@
 fn main() -> ExitCode {
     let line = CommandLine::parse();
     let told = config::Told { operator: line.operator };
-    let (done, bad) = match line.command.unwrap_or(Command::Serve) {
-        Command::Serve => (serve::run(&told), 1),
-        Command::Check => (check::run(&told), 2),
+    let done = match line.command.unwrap_or(Command::Serve) {
+        Command::Serve => serve::run(&told),
+        Command::Check => check::run(&told).map_err(Problem::Configuration),
         Command::Completions { shell } => {
             clap_complete::generate(
                 shell,
@@ -63,14 +65,14 @@
                 "curlewusher",
                 &mut std::io::stdout(),
             );
-            (Ok(()), 1)
+            Ok(())
         }
     };
-    match done {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(problem) => {
-            eprintln!("curlewusher: {problem}");
-            ExitCode::from(bad)
-        }
-    }
+    let (code, problem) = match done {
+        Ok(()) => return ExitCode::SUCCESS,
+        Err(Problem::Configuration(problem)) => (2, problem),
+        Err(Problem::Failure(problem)) => (1, problem),
+    };
+    eprintln!("curlewusher: {problem}");
+    ExitCode::from(code)
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -40,24 +40,34 @@
 /// With fewer descriptors a process cannot serve.
 const LEAST_SOCKETS: usize = 24;
 
+/// Why it does not serve, or no longer.
+pub enum Problem {
+    /// What it was told cannot be used here: another start with the same ends the same way.
+    Configuration(String),
+    /// Anything else; another start may do.
+    Failure(String),
+}
+
 /// Serves until SIGTERM.
-pub fn run(told: &Told) -> Result<(), String> {
+pub fn run(told: &Told) -> Result<(), Problem> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
-        .map_err(|e| format!("the runtime does not start: {e}"))?;
+        .map_err(|e| Problem::Failure(format!("the runtime does not start: {e}")))?;
     LocalSet::new().block_on(&runtime, serve(told))
 }
 
-async fn serve(told: &Told) -> Result<(), String> {
+async fn serve(told: &Told) -> Result<(), Problem> {
+    use Problem::{Configuration, Failure};
+
     // Before all else: until a signal is handled it ends the program.
-    let handle = |kind, name| signal(kind).map_err(|e| format!("{name}: {e}"));
+    let handle = |kind, name| signal(kind).map_err(|e| Failure(format!("{name}: {e}")));
     let mut terminate = handle(SignalKind::terminate(), "SIGTERM")?;
     let mut hang_up = handle(SignalKind::hangup(), "SIGHUP")?;
 
-    let config = Config::read(told)?;
+    let config = Config::read(told).map_err(Configuration)?;
     let Config { name, listen, discovery, console, seed, limits, known, mut site, operator } = config;
-    let logs = Logs::start(&operator.log)?;
+    let logs = Logs::start(&operator.log).map_err(Configuration)?;
     let sender_side_tuning = Rc::new(Cell::new(operator.sender_side));
     let next_hop_tuning = Rc::new(Cell::new(operator.next_hop));
     let lifecycle = Lifecycle::new();
@@ -69,7 +79,8 @@
     site.decisions.max_advice = site.max_retry_after;
     // On sockets a 202 tells that a next hop is there, long before the job starts.
     site.decisions.accepts_within = site.connect_timeout + ACCEPTANCE;
-    let dispatcher = Dispatcher::new(site.decisions.clone(), seed).map_err(|e| format!("config: {e}"))?;
+    let dispatcher =
+        Dispatcher::new(site.decisions.clone(), seed).map_err(|e| Configuration(format!("config: {e}")))?;
 
     let longest = site.decisions.classes.iter().map(|class| Duration::from_micros(class.give_up)).max();
     let answered_within = DRAIN_AT_MOST.min(longest.unwrap_or_default()) + DRAIN_AT_LEAST - LAST_ANSWERS;
@@ -117,7 +128,7 @@
         peer.clone(),
     );
     let opened = console.map(|at| console::open(at, lifecycle.clone())).transpose();
-    let (operators, calls) = opened.map_err(|e| e.to_string())?.unzip();
+    let (operators, calls) = opened.map_err(|e| Configuration(e.to_string()))?.unzip();
 
     // Where there is no second address nobody starts a version beside another.
     let folder = console.and_then(|_| std::env::var_os("TMPDIR")).map(PathBuf::from);
@@ -126,11 +137,13 @@
         _ = terminate.recv() => return Ok(()),
     };
     let listener = beginning.listener().unwrap_or_else(|| sender_side.listen(listen, console.is_some()));
+    let unusable = |e| {
+        let remedy = "give `listen` an address of this machine that no other program has";
+        Configuration(format!("config: listen: {listen}: {e}; {remedy}"))
+    };
     let bound = listener.and_then(|listener| Ok((listener.local_addr()?, listener.try_clone()?, listener)));
-    let (serves_on, for_successors, listener) = bound.map_err(|e| {
-        format!("config: listen: {listen}: {e}; give `listen` an address of this machine that no other program has")
-    })?;
-    let listener = TcpListener::from_std(listener).map_err(|e| format!("config: listen: {listen}: {e}"))?;
+    let (serves_on, for_successors, listener) = bound.map_err(unusable)?;
+    let listener = TcpListener::from_std(listener).map_err(unusable)?;
     let operations = Operations {
         name: name.as_str().into(),
         lifecycle: lifecycle.clone(),
@@ -203,13 +216,13 @@
     tokio::select! {
         () = ended => {}
         // Without its second address nobody could end a drain.
-        () = operated => return Err("the second address is gone".into()),
+        () = operated => return Err(Failure("the second address is gone".into())),
         // Without its signals it could still serve, but nobody could tell it anything.
-        () = reloads => return Err("SIGHUP is no longer delivered".into()),
-        end = dispatch => return Err(format!("the dispatch task ended: {end:?}")),
-        end = upgrading => return Err(format!("the upgrade task ended: {end:?}")),
-        end = map => return Err(format!("the transport map ended: {end:?}")),
-        end = sweep => return Err(format!("the sweep of idle connections ended: {end:?}")),
+        () = reloads => return Err(Failure("SIGHUP is no longer delivered".into())),
+        end = dispatch => return Err(Failure(format!("the dispatch task ended: {end:?}"))),
+        end = upgrading => return Err(Failure(format!("the upgrade task ended: {end:?}"))),
+        end = map => return Err(Failure(format!("the transport map ended: {end:?}"))),
+        end = sweep => return Err(Failure(format!("the sweep of idle connections ended: {end:?}"))),
     }
     logs.figures(&counters.text());
     Ok(())
