An unusable $TMPDIR is said in one line, not in two

Need: where no file can be made in $TMPDIR the lock said so, and then the seat once more, as if something else failed. Change: a process whose lock cannot be made does not try to sit either. A lock that another start holds still lets it.

--- a/crates/node/src/upgrade.rs
+++ b/crates/node/src/upgrade.rs
@@ -74,7 +74,16 @@
         let place = Place::new(&folder, listen);
         let since = Instant::now();
         loop {
-            match Self::ask(&place, node, listen).await {
+            let asked = match place.turn().await {
+                Ok(turn) => call_on(&place, node, listen).await.map(|elder| (turn, elder)),
+                Err(problem @ HandoverError::Held { .. }) => Err(problem),
+                Err(problem) => {
+                    warn!(target: NODE, "curlewusher {node}: {problem}");
+                    // Where it can make no file it cannot sit either, which need not be said twice.
+                    return Beginning::default();
+                }
+            };
+            match asked {
                 Ok((turn, elder)) => {
                     if elder.is_some() {
                         info!(target: NODE, "curlewusher {node}: goes on for the process that serves");
@@ -90,15 +99,6 @@
         }
     }
 
-    async fn ask(
-        place: &Place,
-        node: &str,
-        listen: SocketAddr,
-    ) -> Result<(Turn, Option<Elder>), HandoverError> {
-        let turn = place.turn().await?;
-        Ok((turn, call_on(place, node, listen).await?))
-    }
-
     /// The listener that the process before this one has passed on.
     pub fn listener(&self) -> Option<std::io::Result<TcpListener>> {
         self.elder.as_ref().map(|elder| elder.listener.try_clone())
