Upgrades, drains and maintenance are tested with real processes of one node

Need: the hard cases of daily operation were tested on the table of the succession and on the link, not on processes. Tests: the newer killed before, at and after its yes; the older killed before and after it hands over; two starts at once; a third start; SIGTERM to the newer; call-backs and copies at the other process; calls at either; a drain and a ban over an upgrade, without discovery too; a $TMPDIR of no use; a taken address; what is left at the place to meet. None says which process answers a job that is held.

--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -228,6 +228,8 @@
 /// The program under test.
 pub struct Node {
     pub address: SocketAddr,
+    /// What it wrote to standard error before it said where it serves.
+    pub before: Vec<String>,
     file: String,
     said: Receiver<String>,
     child: Option<Child>,
@@ -241,25 +243,64 @@
 
     /// The same with an operator's file of this text.
     fn spawn_with(config: &str, descriptors: u32, operator: Option<&str>) -> (Child, String) {
+        let file = Node::file(config);
+        (Node::spawn_in(&format!("{file}.d"), &file, descriptors, operator), file)
+    }
+
+    /// A file of that configuration, and a folder beside it, for one node.
+    pub fn file(config: &str) -> String {
         use std::sync::atomic::{AtomicU32, Ordering};
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let file = format!("{}/node-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
         std::fs::write(&file, config).expect("a place for the configuration");
+        // Left by an earlier run of that number.
+        let _ = std::fs::remove_dir_all(format!("{file}.d"));
+        std::fs::create_dir(format!("{file}.d")).expect("a place for its files");
+        file
+    }
+
+    /// The program with that folder for its files, and that file of configuration.
+    pub fn spawn_in(folder: &str, file: &str, descriptors: u32, operator: Option<&str>) -> Child {
         // The shell lowers its own limit and then becomes the program.
         let mut command = Command::new("sh");
         if let Some(operator) = operator {
             std::fs::write(format!("{file}.toml"), operator).expect("a place for the operator's file");
             command.env("CURLEWUSHER_OPERATOR", format!("{file}.toml"));
         }
-        let child = command
+        command
             .args(["-c", r#"ulimit -n "$0" && exec "$1""#, &descriptors.to_string()])
             .arg(env!("CARGO_BIN_EXE_curlewusher"))
-            .env("RELAY_CONFIG", &file)
+            .env("RELAY_CONFIG", file)
+            // Nodes of other tests, which have the same address to the letter, must not meet this one there.
+            .env("TMPDIR", folder)
             .stderr(Stdio::piped())
             .spawn()
-            .expect("the program starts");
-        (child, file)
+            .expect("the program starts")
+    }
+
+    /// A process of the same node: with this one's folder, and its configuration but for discovery, of which each has
+    /// one that the test can tell from the other's.
+    pub fn spawn_beside(&self, discovery: SocketAddr) -> (Child, String) {
+        let text = std::fs::read_to_string(&self.file).expect("its configuration");
+        let was = text.split(r#""discovery":""#).nth(1).and_then(|rest| rest.split_once('"'));
+        let was = format!(r#""discovery":"{}""#, was.expect("an address").0);
+        let text = text.replacen(&was, &format!(r#""discovery":"{discovery}""#), 1);
+        let file = format!("{}-{}", self.file, discovery.port());
+        std::fs::write(&file, text).expect("a place for the configuration");
+        (Node::spawn_in(&self.folder(), &file, 1024, None), file)
+    }
+
+    /// What the process and those beside it have for $TMPDIR.
+    pub fn folder(&self) -> String {
+        let (first, _) = self.file.split_once(".json").expect("such a name");
+        format!("{first}.json.d")
+    }
+
+    /// A node with that for $TMPDIR.
+    pub fn start_in(folder: &str, config: &str) -> Node {
+        let file = Node::file(config);
+        Node::heard((Node::spawn_in(folder, &file, 1024, None), file))
     }
 
     pub fn start(config: &str) -> Node {
@@ -283,26 +324,48 @@
         let mut line = String::new();
         stderr.read_line(&mut line).expect("a line");
         let (_, said) = channel();
-        (Node { address: Node::place(line.trim_end()), file, said, child: Some(child) }, stderr)
+        let address = Node::place(line.trim_end()).unwrap_or_else(|| panic!("{line}"));
+        (Node { address, before: vec![], file, said, child: Some(child) }, stderr)
     }
 
-    /// The address in the line that says where it serves.
-    fn place(line: &str) -> SocketAddr {
-        let address = line.split("serves on ").nth(1).and_then(|at| at.split('"').next()?.parse().ok());
-        address.unwrap_or_else(|| panic!("{line}"))
+    /// The address in the line that says where it serves, or is to serve where it has come beside another.
+    fn place(line: &str) -> Option<SocketAddr> {
+        let rest = line.split_once("is to serve on ").or(line.split_once("serves on "))?.1;
+        rest.split('"').next()?.parse().ok()
     }
 
-    fn heard((mut child, file): (Child, String)) -> Node {
+    pub fn heard((mut child, file): (Child, String)) -> Node {
         let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
         let (sender, said) = channel();
         // What it says must not fill the pipe, whether the test looks at it or not.
         thread::spawn(move || lines.map_while(Result::ok).for_each(|line| _ = sender.send(line)));
         // It is a node before its line is looked at: one that says something else is ended all the same.
-        let mut node =
-            Node { address: SocketAddr::from(([127, 0, 0, 1], 0)), file, said, child: Some(child) };
-        let line = node.says();
-        node.address = Node::place(&line);
-        node
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut node = Node { address, before: vec![], file, said, child: Some(child) };
+        loop {
+            let line = node.says();
+            if let Some(address) = Node::place(&line) {
+                node.address = address;
+                return node;
+            }
+            node.before.push(line);
+        }
+    }
+
+    /// Passes its lines over up to one that has this in it.
+    pub fn says_of(&self, part: &str) -> String {
+        std::iter::repeat_with(|| self.says()).find(|line| line.contains(part)).expect("endless")
+    }
+
+    /// Whether it began beside another process of its node.
+    pub fn follows(&self) -> bool {
+        self.before.iter().any(|line| line.ends_with("goes on for the process that serves"))
+    }
+
+    /// SIGKILL; returns once it is no more.
+    pub fn kill(mut self) {
+        let mut child = self.child.take().expect("it runs");
+        child.kill().and_then(|()| child.wait()).expect("it ends");
     }
 
     /// The next line that it writes to standard error.
--- a/crates/node/tests/operation/mod.rs
+++ b/crates/node/tests/operation/mod.rs
@@ -1,5 +1,7 @@
 //! Daily operation, played on the program as a process: drains, maintenance, a version beside another.
 
+mod upgrade;
+
 use std::io::Read;
 
 use crate::common::*;
--- /dev/null
+++ b/crates/node/tests/operation/upgrade.rs
@@ -0,0 +1,477 @@
+//! Owns the hard cases of an upgrade, played with two or three processes of one node: ends in every order, call-backs and
+//! calls at either, and a place to meet that is of no use. It must never say which process answers a job that is held
+//! while both run: that is the node's own affair. Its client gets one right answer, its worker one delivery attempt.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixListener;
+use std::time::Instant;
+
+use crate::common::*;
+
+const NAMES: [&str; 2] = ["s-1", "s-2"];
+const DONE: &str = r#""state":"done","result":"x""#;
+
+/// A process of a node, with a discovery of its own.
+struct Process {
+    node: Node,
+    operators: SocketAddr,
+    discovery: Server,
+}
+
+/// What all processes of a node have in common.
+struct Scene {
+    hops: Vec<Server>,
+    known: Vec<String>,
+}
+
+/// That a next hop is slow to take a job on is not looked at here: on a busy machine it may be.
+fn patient(discovery: SocketAddr, known: &[String]) -> String {
+    operated(discovery, known).replace(r#""connectTimeoutUs":500000"#, r#""connectTimeoutUs":6000000"#)
+}
+
+/// Asks until it is so.
+fn until(so: impl Fn() -> bool) {
+    let since = Instant::now();
+    while !so() {
+        assert!(since.elapsed() < LONG, "it never is");
+    }
+}
+
+fn is_ready(operators: SocketAddr) {
+    until(|| call(operators, "READY\n") == "+OK");
+}
+
+impl Scene {
+    fn new(hops: usize) -> Scene {
+        let hops: Vec<_> = (0..hops).map(|_| Server::start()).collect();
+        let known = hops.iter().zip(NAMES);
+        let known = known.map(|(hop, name)| endpoint(name, hop.address, "in_service")).collect();
+        Scene { hops, known }
+    }
+
+    /// A scene with so many next hops, and the first process of its node, which serves.
+    fn begun(hops: usize) -> (Scene, Process) {
+        let scene = Scene::new(hops);
+        let (first, _) = scene.first();
+        if hops == 1 {
+            // A cold one would be given one job at a time.
+            scene.serves(&first.node, "r0", 0);
+        }
+        (scene, first)
+    }
+
+    fn first(&self) -> (Process, Watch) {
+        let discovery = Server::start();
+        let node = Node::start(&patient(discovery.address, &self.known));
+        let first = Process::of(node, discovery);
+        let watch = self.list(&first);
+        first.is_ready();
+        (first, watch)
+    }
+
+    fn list(&self, process: &Process) -> Watch {
+        let watch = Watch::open(&process.discovery);
+        watch.line(&list(42, true, &self.known));
+        watch
+    }
+
+    /// A version beside that one, once it serves.
+    fn upgrade(&self, older: &Process) -> Process {
+        let newer = older.beside();
+        self.list(&newer);
+        older.node.says_of("n0: retired");
+        newer.is_ready();
+        newer
+    }
+
+    /// A job that the next hop has, and has not accepted.
+    fn sent(&self, node: &Node, id: &str) -> (TcpStream, Got) {
+        (write(node.address, &job(id, "order", 8.0, "")), self.hops[0].request())
+    }
+
+    /// One that it has accepted.
+    fn held(&self, node: &Node, id: &str) -> TcpStream {
+        let (client, got) = self.sent(node, id);
+        got.answer("202 Accepted");
+        client
+    }
+
+    /// A job from a new client is served there, at the first try.
+    fn serves(&self, node: &Node, id: &str, hop: usize) {
+        let client = write(node.address, &job(id, "view", 8.0, ""));
+        let got = self.hops[hop].request();
+        assert!(got.message.header("x-request-id") == Some(id), "{:?}", got.message);
+        got.answer("202 Accepted");
+        node.tell(id, NAMES[hop], DONE);
+        assert_eq!(answer(client).status(), 200, "{id}");
+    }
+
+    fn is_quiet(&self) {
+        assert!(!self.hops.iter().any(Server::has_more), "a second attempt");
+    }
+}
+
+impl Process {
+    fn of(node: Node, discovery: Server) -> Process {
+        let operators = node.operators();
+        Process { node, operators, discovery }
+    }
+
+    /// A version beside this one, which has no list yet but the saved one.
+    fn beside(&self) -> Process {
+        let discovery = Server::start();
+        let node = Node::heard(self.node.spawn_beside(discovery.address));
+        assert!(node.follows(), "{:?}", node.before);
+        assert_eq!(node.address, self.node.address);
+        self.node.says_of("n0: a successor has come");
+        Process::of(node, discovery)
+    }
+
+    fn call(&self, line: &str) -> String {
+        call(self.operators, &format!("{line}\n"))
+    }
+
+    fn yes(&self, line: &str) {
+        assert_eq!(self.call(line), "+OK", "{line}");
+    }
+
+    fn is_ready(&self) {
+        is_ready(self.operators);
+    }
+
+    /// SIGTERM, and a good end.
+    fn ends(self) {
+        self.node.signal("-TERM");
+        assert_eq!(self.node.end().status.code(), Some(0));
+    }
+}
+
+#[test]
+fn a_newer_version_serves_and_the_older_answers_what_it_has_and_ends_well() {
+    let (scene, older) = Scene::begun(1);
+    let client = scene.held(&older.node, "r1");
+    let newer = scene.upgrade(&older);
+    scene.serves(&newer.node, "r2", 0);
+    // The shared address is the newer one's by now.
+    newer.node.tell("r1", "s-1", r#""state":"running","share":0.5"#);
+    older.node.signal("-TERM");
+    newer.node.tell("r1", "s-1", DONE);
+    let result = answer(client);
+    assert_eq!((result.status(), result.body.as_str()), (200, "x"));
+    assert_eq!(older.node.end().status.code(), Some(0));
+    scene.serves(&newer.node, "r3", 0);
+    scene.is_quiet();
+    newer.ends();
+}
+
+#[test]
+fn the_older_takes_back_where_the_newer_is_killed_before_at_or_after_its_yes() {
+    let (scene, older) = Scene::begun(1);
+    for (when, id) in [("before", "r1"), ("at", "r2"), ("after", "r3")] {
+        let client = scene.held(&older.node, &format!("{id}-held"));
+        let newer = older.beside();
+        if when != "before" {
+            scene.list(&newer);
+            older.node.says_of("n0: retired");
+        }
+        if when == "after" {
+            newer.is_ready();
+            scene.serves(&newer.node, &format!("{id}-new"), 0);
+        }
+        newer.node.kill();
+        // No connection is refused meanwhile.
+        older.node.tell(&format!("{id}-held"), "s-1", DONE);
+        assert_eq!(answer(client).status(), 200, "{when}");
+        scene.serves(&older.node, id, 0);
+        assert_eq!(older.node.get("/ready").status(), 200, "{when}");
+        older.yes("READY");
+        scene.is_quiet();
+    }
+    older.ends();
+}
+
+#[test]
+fn the_newer_goes_on_where_the_older_is_killed_before_or_after_it_hands_over() {
+    for handed_over in [false, true] {
+        let (scene, older) = Scene::begun(1);
+        let newer = older.beside();
+        if handed_over {
+            scene.list(&newer);
+            older.node.says_of("n0: retired");
+        }
+        older.node.kill();
+        // What came in between waits in the queue of the listener that both hold.
+        scene.serves(&newer.node, "r1", 0);
+        if !handed_over {
+            scene.list(&newer);
+        }
+        newer.is_ready();
+        assert_eq!(newer.node.get("/ready").status(), 200);
+        let third = scene.upgrade(&newer);
+        newer.ends();
+        scene.serves(&third.node, "r2", 0);
+        scene.is_quiet();
+    }
+}
+
+#[test]
+fn of_two_that_start_at_once_one_serves_and_the_other_follows() {
+    let (scene, discovery) = (Scene::new(1), Server::start());
+    let file = Node::file(&patient(discovery.address, &scene.known));
+    let both = [(); 2].map(|()| (Node::spawn_in(&format!("{file}.d"), &file, 1024, None), file.clone()));
+    let mut both = both.map(Node::heard);
+    both.sort_by_key(Node::follows);
+    let [older, newer] = both;
+    assert!(!older.follows() && newer.follows(), "{:?} {:?}", older.before, newer.before);
+    assert_eq!(older.address, newer.address);
+    (0..2).for_each(|_| Watch::open(&discovery).line(&list(42, true, &scene.known)));
+    let newer_at = newer.operators();
+    older.says_of("n0: retired");
+    is_ready(newer_at);
+    scene.serves(&newer, "r1", 0);
+    for node in [older, newer] {
+        node.signal("-TERM");
+        assert_eq!(node.end().status.code(), Some(0));
+    }
+}
+
+#[test]
+fn a_third_start_waits_for_the_first_to_end_and_takes_over_from_the_second() {
+    let (scene, first) = Scene::begun(1);
+    let second = scene.upgrade(&first);
+    let discovery = Server::start();
+    let third = second.node.spawn_beside(discovery.address);
+    first.ends();
+    let third = Process::of(Node::heard(third), discovery);
+    assert!(third.node.follows(), "{:?}", third.node.before);
+    scene.list(&third);
+    second.node.says_of("n0: retired");
+    third.is_ready();
+    second.ends();
+    scene.serves(&third.node, "r1", 0);
+    third.ends();
+}
+
+#[test]
+fn the_node_goes_on_at_the_older_where_the_newer_is_told_to_end() {
+    let (scene, older) = Scene::begun(1);
+    older.beside().ends();
+    scene.serves(&older.node, "r1", 0);
+    let newer = scene.upgrade(&older);
+    let client = scene.held(&newer.node, "r2");
+    newer.node.signal("-TERM");
+    older.node.says_of("n0: ready");
+    // The job of the one that ends is answered, though its call comes here.
+    older.node.tell("r2", "s-1", DONE);
+    assert_eq!(answer(client).status(), 200);
+    scene.serves(&older.node, "r3", 0);
+    assert_eq!(newer.node.end().status.code(), Some(0));
+    older.yes("READY");
+    assert_eq!(older.node.get("/ready").status(), 200);
+    scene.is_quiet();
+    // It can be followed again.
+    let newer = scene.upgrade(&older);
+    older.ends();
+    scene.serves(&newer.node, "r4", 0);
+}
+
+#[test]
+fn a_call_for_a_job_of_the_other_process_counts_before_its_202_and_once() {
+    let (scene, older) = Scene::begun(1);
+    let newer = older.beside();
+    let (client, got) = scene.sent(&older.node, "r1");
+    scene.list(&newer);
+    older.node.says_of("n0: retired");
+    newer.node.tell("r1", "s-1", DONE);
+    newer.node.tell("r1", "s-1", r#""state":"failed""#);
+    assert_eq!(answer(client).body, "x");
+    got.answer("202 Accepted");
+    older.ends();
+    let series = "curlewusher_callbacks_without_effect_total";
+    let before = newer.node.count(series);
+    newer.node.tell("r1", "s-1", DONE);
+    assert_eq!(newer.node.count(series), before + 1);
+    scene.serves(&newer.node, "r2", 0);
+    scene.is_quiet();
+}
+
+#[test]
+fn a_copy_of_a_job_in_hand_is_turned_away_by_either_process() {
+    let (scene, older) = Scene::begun(1);
+    let client = scene.held(&older.node, "r1");
+    // The older one has read half of this one by the time it hands over.
+    let copy = job("r2", "order", 8.0, "");
+    let mut late = write(older.node.address, &copy[..copy.len() - 4]);
+    let newer = scene.upgrade(&older);
+    assert_eq!(ask(newer.node.address, &job("r1", "order", 8.0, "")).status(), 409);
+    let second = scene.held(&newer.node, "r2");
+    late.write_all(b"body").expect("it reads");
+    assert_eq!(answer(late).status(), 409);
+    for (id, client) in [("r1", client), ("r2", second)] {
+        newer.node.tell(id, "s-1", DONE);
+        assert_eq!(answer(client).status(), 200, "{id}");
+    }
+    scene.is_quiet();
+}
+
+#[test]
+fn a_call_for_a_next_hop_counts_at_both_processes_wherever_it_comes() {
+    let (scene, older) = Scene::begun(2);
+    older.yes("DISABLE s-1");
+    let newer = older.beside();
+    scene.serves(&older.node, "r1", 1);
+    // The saved list and what the older one holds are enough for a call.
+    newer.yes("ENABLE s-1");
+    newer.yes("DISABLE s-2");
+    scene.serves(&older.node, "r2", 0);
+    scene.list(&newer);
+    older.node.says_of("n0: retired");
+    newer.is_ready();
+    scene.serves(&newer.node, "r3", 0);
+    older.yes("DISABLE s-1");
+    older.yes("ENABLE s-2");
+    ["r4", "r5"].iter().for_each(|id| scene.serves(&newer.node, id, 1));
+    newer.yes("ENABLE s-1");
+    scene.serves(&newer.node, "r6", 0);
+    newer.yes("DISABLE s-2");
+    newer.node.kill();
+    ["r7", "r8"].iter().for_each(|id| scene.serves(&older.node, id, 0));
+    assert!(older.call("DISABLE s-9").starts_with("-ERR never listed: s-9"));
+    scene.is_quiet();
+}
+
+#[test]
+fn a_drain_outlasts_an_upgrade_and_is_ended_at_either_process() {
+    let (scene, older) = Scene::begun(1);
+    older.yes("DRAIN");
+    let newer = older.beside();
+    scene.list(&newer);
+    older.node.says_of("n0: retired");
+    until(|| newer.call("READY").starts_with("-ERR drained: send UNDRAIN"));
+    assert_eq!(newer.node.get("/ready").status(), 503);
+    newer.yes("UNDRAIN");
+    assert_eq!((newer.node.get("/ready").status(), newer.call("READY").as_str()), (200, "+OK"));
+    older.yes("READY");
+    newer.yes("DRAIN");
+    assert!(older.call("READY").starts_with("-ERR"));
+    newer.node.kill();
+    assert_eq!(older.node.get("/ready").status(), 503, "it takes back a node that is drained");
+    older.yes("UNDRAIN");
+    assert_eq!(older.node.get("/ready").status(), 200);
+    older.yes("DRAIN");
+    let newer = older.beside();
+    older.ends();
+    scene.list(&newer);
+    assert_eq!(newer.node.get("/ready").status(), 503);
+    newer.yes("UNDRAIN");
+    newer.is_ready();
+    scene.serves(&newer.node, "r1", 0);
+}
+
+#[test]
+fn a_next_hop_that_is_out_stays_out_over_an_upgrade_without_discovery() {
+    let scene = Scene::new(2);
+    let (older, watch) = scene.first();
+    older.yes("DISABLE s-2");
+    watch.end();
+    // Nobody answers the newer one's discovery: it goes by the saved list.
+    let newer = older.beside();
+    older.node.says_of("n0: retired");
+    newer.is_ready();
+    // A free choice would fall on the one that is out.
+    (0..8).for_each(|n| scene.serves(&newer.node, &format!("r1{n}"), 0));
+    newer.yes("DISABLE s-2");
+    older.ends();
+    scene.serves(&newer.node, "r2", 0);
+    newer.yes("ENABLE s-2");
+    scene.serves(&newer.node, "r3", 1);
+    newer.yes("DISABLE s-2");
+    ["r4", "r5"].iter().for_each(|id| scene.serves(&newer.node, id, 0));
+    newer.yes("ENABLE s-2");
+    scene.serves(&newer.node, "r6", 1);
+    scene.is_quiet();
+}
+
+#[test]
+fn without_a_place_to_meet_a_node_says_so_once_and_the_next_one_binds_as_well() {
+    let scene = Scene::new(1);
+    let discovery = [Server::start(), Server::start()];
+    let text = discovery.each_ref().map(|discovery| patient(discovery.address, &scene.known));
+    let file = Node::file("not a folder");
+    for folder in [format!("{file}.d/none"), file] {
+        let older = Node::start_in(&folder, &text[0]);
+        let newer = text[1].replacen("127.0.0.1:0\",\"d", &format!("{}\",\"d", older.address), 1);
+        let newer = Node::start_in(&folder, &newer);
+        assert_eq!(older.address, newer.address);
+        discovery.iter().for_each(|discovery| Watch::open(discovery).line(&list(42, true, &scene.known)));
+        for node in [&older, &newer] {
+            assert!(node.before.len() == 1 && node.before[0].contains(&folder), "{:?}", node.before);
+            assert!(node.before[0].contains("$TMPDIR"), "{:?}", node.before);
+            is_ready(node.operators());
+        }
+        older.signal("-TERM");
+        // Not another word of it.
+        while let line = older.says()
+            && !line.ends_with("n0: drains")
+        {
+            assert!(!line.contains(&folder), "{line}");
+        }
+        assert_eq!(older.end().status.code(), Some(0));
+        scene.serves(&newer, "r1", 0);
+    }
+}
+
+#[test]
+fn an_address_that_another_program_has_ends_the_node_with_2_and_one_line() {
+    let other = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let at = other.local_addr().expect("an address").to_string();
+    let nowhere = "127.0.0.1:1".parse().expect("an address");
+    for field in ["listen", "console"] {
+        let text = operated(nowhere, &[]);
+        let text = text.replace(&format!(r#""{field}":"127.0.0.1:0""#), &format!(r#""{field}":"{at}""#));
+        let (mut child, _) = Node::spawn(&text, 1024);
+        let mut said = String::new();
+        child.stderr.take().expect("piped").read_to_string(&mut said).expect("text");
+        assert_eq!(child.wait().expect("it ends").code(), Some(2), "{said}");
+        let parts = [format!("{field}: {at}"), format!("give `{field}` an address")];
+        assert!(parts.iter().all(|part| said.contains(part)) && said.lines().count() == 1, "{said}");
+    }
+}
+
+#[test]
+fn what_is_left_or_put_at_the_place_to_meet_keeps_no_node_from_serving() {
+    let scene = Scene::new(1);
+    // A stale socket, a file, two sockets of a program that is no node, and a folder, which nobody can sit on.
+    for what in ["stale", "file", "silent", "noise", "folder"] {
+        let discovery = Server::start();
+        let file = Node::file(&patient(discovery.address, &scene.known));
+        let folder = format!("{file}.d");
+        let place = format!("{folder}/curlewusher-127.0.0.1-0.sock");
+        let there = match what {
+            "file" => std::fs::write(&place, "mine").map(|()| None),
+            "folder" => std::fs::create_dir(&place).map(|()| None),
+            _ => UnixListener::bind(&place).map(Some),
+        };
+        let there = there.expect("a place").filter(|_| what != "stale");
+        if what == "noise" {
+            let there = there.as_ref().and_then(|there| there.try_clone().ok()).expect("a handle");
+            std::thread::spawn(move || _ = there.accept().and_then(|(mut s, _)| s.write_all(&[b'x'; 999])));
+        }
+        let older = Process::of(Node::heard((Node::spawn_in(&folder, &file, 1024, None), file)), discovery);
+        assert!(!older.node.follows(), "{what}");
+        let lines = usize::from(matches!(what, "silent" | "noise"));
+        assert_eq!(older.node.before.len(), lines, "{what}: {:?}", older.node.before);
+        scene.list(&older);
+        older.is_ready();
+        scene.serves(&older.node, "r1", 0);
+        if what == "folder" {
+            let line = older.node.says_of("no successor can find this process");
+            assert!(line.contains(&place) && line.contains("look at what is there in $TMPDIR"), "{line}");
+        } else {
+            let newer = scene.upgrade(&older);
+            older.ends();
+            scene.serves(&newer.node, "r2", 0);
+        }
+    }
+}
