--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -342,6 +342,14 @@
     moves: watch::Sender<bool>,
 }
 
+/// What the sender side keeps within.
+pub struct Bounds {
+    /// Places for connections.
+    pub room: Places,
+    /// The operator's fields, which may change.
+    pub tuning: Rc<Cell<Tuning>>,
+}
+
 /// The sender side of the node; one more for each connection, which is then its caller.
 #[derive(Clone)]
 pub struct SenderSide {
@@ -484,11 +492,10 @@
         queue: Queue<Parcel>,
         clock: Clock,
         site: &Site,
-        room: Places,
         lifecycle: Lifecycle,
         counters: Counters,
-        tuning: Rc<Cell<Tuning>>,
         peer: Peer,
+        Bounds { room, tuning }: Bounds,
     ) -> Self {
         let keyed = site.decisions.classes.iter().map(|c| matches!(c.effect, Effect::Keyed { .. }));
         let shared = Rc::new(Shared {
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -22,7 +22,7 @@
 use crate::next_hop::NextHops;
 use crate::operate::Operations;
 use crate::places::Places;
-use crate::sender_side::SenderSide;
+use crate::sender_side::{Bounds, SenderSide};
 use crate::transport_map::{Names, TransportMap};
 use crate::upgrade::{Beginning, Parts, Upgrade};
 
@@ -121,11 +121,10 @@
         queue,
         clock,
         &site,
-        Places::new(all - all / 3, half - half / 3),
         lifecycle.clone(),
         counters.clone(),
-        sender_side_tuning.clone(),
         peer.clone(),
+        Bounds { room: Places::new(all - all / 3, half - half / 3), tuning: sender_side_tuning.clone() },
     );
     let opened = console.map(|at| console::open(at, lifecycle.clone())).transpose();
     let (operators, calls) = opened.map_err(|e| Configuration(e.to_string()))?.unzip();
--- a/crates/node/src/upgrade.rs
+++ b/crates/node/src/upgrade.rs
@@ -64,6 +64,8 @@
     place: Option<Place>,
     turn: Option<Turn>,
     elder: Option<Elder>,
+    /// Something kept it from asking whether another serves: one may, and is not known.
+    estranged: bool,
 }
 
 impl Beginning {
@@ -80,7 +82,7 @@
                 Err(problem) => {
                     warn!(target: NODE, "curlewusher {node}: {problem}");
                     // Where it can make no file it cannot sit either, which need not be said twice.
-                    return Beginning::default();
+                    return Beginning { estranged: true, ..Beginning::default() };
                 }
             };
             match asked {
@@ -88,12 +90,12 @@
                     if elder.is_some() {
                         info!(target: NODE, "curlewusher {node}: goes on for the process that serves");
                     }
-                    return Beginning { place: Some(place), turn: Some(turn), elder };
+                    return Beginning { place: Some(place), turn: Some(turn), elder, estranged: false };
                 }
                 Err(problem) if problem.is_busy() && since.elapsed() < BUSY_MOST => sleep(BUSY_PAUSE).await,
                 Err(problem) => {
                     warn!(target: NODE, "curlewusher {node}: {problem}");
-                    return Beginning { place: Some(place), turn: None, elder: None };
+                    return Beginning { place: Some(place), estranged: true, ..Beginning::default() };
                 }
             }
         }
@@ -186,9 +188,8 @@
         there: watch::Receiver<bool>,
         listed: bool,
     ) -> (Reach, impl Future<Output = ()>) {
-        let Beginning { place, turn, elder } = beginning;
-        // Without a turn something kept it from asking whether another serves.
-        parts.operations.peer.estrange(place.is_some() && turn.is_none());
+        let Beginning { place, turn, elder, estranged } = beginning;
+        parts.operations.peer.estrange(estranged);
         let (node, listen) = (parts.operations.name.clone(), parts.listen.to_string());
         let (succession, deeds) = match elder {
             Some(_) => Succession::welcomed(&node, &listen),
