Start and configuration have errors of their own type, each with what to do

Need: what kept a node from starting was a text; some of them said what was wrong and not what would be right. Change: ConfigError and serve::Problem (thiserror); the program ends with 2 where another start would end the same way.

--- a/crates/node/src/check.rs
+++ b/crates/node/src/check.rs
@@ -7,10 +7,10 @@
 use curlewusher_settings::operator::Operator;
 use serde_json::Value;
 
-use crate::config::{Config, Told, VARIABLES};
+use crate::config::{Config, ConfigError, Told, VARIABLES};
 
 /// Prints all values; an error where a start would fail.
-pub fn run(told: &Told) -> Result<(), String> {
+pub fn run(told: &Told) -> Result<(), ConfigError> {
     Config::read(told)?;
     let mut out = String::new();
     platform(told, &mut out)?;
@@ -20,11 +20,11 @@
     Ok(())
 }
 
-fn platform(told: &Told, out: &mut String) -> Result<(), String> {
+fn platform(told: &Told, out: &mut String) -> Result<(), ConfigError> {
     let (path, text) = told.platform()?;
-    let mut written: Value = serde_json::from_str(&text).map_err(|e| format!("config: {e}"))?;
+    let mut written: Value = serde_json::from_str(&text).map_err(|e| ConfigError::Shape(e.to_string()))?;
     let settings = written["settings"].take();
-    let effective = curlewusher_settings::effective(settings.clone())?;
+    let effective = curlewusher_settings::effective(settings.clone()).map_err(ConfigError::Settings)?;
     let _ = writeln!(out, "# what the platform tells");
     for (field, variable) in VARIABLES {
         match told.variable(variable) {
@@ -62,11 +62,12 @@
     }
 }
 
-fn operator(told: &Told, out: &mut String) -> Result<(), String> {
+fn operator(told: &Told, out: &mut String) -> Result<(), ConfigError> {
     let file = told.operator()?;
     let _ = writeln!(out, "# what the operator says");
     let (path, text) = file.as_ref().map_or(("", ""), |(path, text)| (path.as_str(), text.as_str()));
-    let operator = Operator::parse(text).map_err(|e| format!("{path}: {e}"))?;
+    let operator = Operator::parse(text)
+        .map_err(|e| ConfigError::Operator { path: path.to_owned(), cause: e.to_string() })?;
     for (field, value) in operator.values() {
         let source = if Operator::sets(text, field) { path } else { "default" };
         let _ = writeln!(out, "{} = {value}  # {source}", field.path);
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,14 +1,52 @@
 //! Owns the configuration: where it is, how it is read, and what stands before what. It must never start anything or
 //! change what runs: it is read whole, and others take from it what counts.
 
+use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use curlewusher_settings::operator::Operator;
 use serde::Deserialize;
+use thiserror::Error;
 
 use crate::transport_map::ListMessage;
 
+/// Why what a node was told cannot be used. Each names the place, and says what would be right.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// Nothing says where the platform's file is.
+    #[error("RELAY_CONFIG is not set; set it to the path of the platform's JSON file")]
+    Unset,
+    /// The platform's file is not there or cannot be read.
+    #[error("RELAY_CONFIG: {path}: {cause}; name a file that this user can read")]
+    Unreadable { path: String, cause: io::Error },
+    /// The operator's file is not there or cannot be read.
+    #[error("operator file: {path}: {cause}; name a file that this user can read, or none")]
+    OperatorUnreadable { path: String, cause: io::Error },
+    /// A field of the operator's file cannot be used; the cause has line, field and what would be right.
+    #[error("operator file: {path}: {cause}")]
+    Operator { path: String, cause: String },
+    /// The platform's file is no JSON, or a field has another shape; the cause has place and field.
+    #[error("config: {0}")]
+    Shape(String),
+    /// A field that is to be an address is none.
+    #[error("config: {field}: not an address and port: {text}; give one such as 10.0.0.4:8000")]
+    Address { field: &'static str, text: String },
+    /// The settings cannot be worked with.
+    #[error("config: settings.{0}")]
+    Settings(String),
+    /// Too few descriptors.
+    #[error("config: limits.sockets: under {LEAST_SOCKETS} a node cannot serve; allow it that many")]
+    Sockets,
+    /// The seed is no number.
+    #[error(
+        "config: seed: not a hexadecimal number of 64 bits: {0}; give up to 16 digits of 0 to 9 and a to f"
+    )]
+    Seed(String),
+}
+
+const LEAST_SOCKETS: usize = 64;
+
 /// What a node may use.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct Limits {
@@ -70,51 +108,56 @@
     }
 
     /// Path and text of the platform's file.
-    pub fn platform(&self) -> Result<(String, String), String> {
-        let path = self.variable("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("RELAY_CONFIG: {path}: {e}"))?;
-        Ok((path, text))
+    pub fn platform(&self) -> Result<(String, String), ConfigError> {
+        let path = self.variable("RELAY_CONFIG").ok_or(ConfigError::Unset)?;
+        match std::fs::read_to_string(&path) {
+            Ok(text) => Ok((path, text)),
+            Err(cause) => Err(ConfigError::Unreadable { path, cause }),
+        }
     }
 
     /// Path and text of the operator's file.
-    pub fn operator(&self) -> Result<Option<(String, String)>, String> {
+    pub fn operator(&self) -> Result<Option<(String, String)>, ConfigError> {
         let Some(path) = &self.operator else { return Ok(None) };
         let name = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|e| format!("operator file: {name}: {e}"))?;
-        Ok(Some((name, text)))
+        match std::fs::read_to_string(path) {
+            Ok(text) => Ok(Some((name, text))),
+            Err(cause) => Err(ConfigError::OperatorUnreadable { path: name, cause }),
+        }
     }
 }
 
 impl Config {
     /// Reads the file that RELAY_CONFIG names. The other variables stand before what it says.
-    pub fn read(told: &Told) -> Result<Self, String> {
+    pub fn read(told: &Told) -> Result<Self, ConfigError> {
         Self::parse(told, |name| told.variable(name))
     }
 
     /// Reads the file again, for SIGHUP: here what it says of discovery stands before RELAY_DISCOVERY, which
     /// is as old as the process. The whole file must be good, or nothing of it counts.
-    pub fn read_again(told: &Told) -> Result<Self, String> {
+    pub fn read_again(told: &Told) -> Result<Self, ConfigError> {
         Self::parse(told, |name| told.variable(name).filter(|_| name != "RELAY_DISCOVERY"))
     }
 
-    fn parse(told: &Told, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+    fn parse(told: &Told, variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let operator = match told.operator()? {
             None => Operator::default(),
             Some((path, text)) => {
-                Operator::parse(&text).map_err(|e| format!("operator file: {path}: {e}"))?
+                let read = Operator::parse(&text);
+                read.map_err(|e| ConfigError::Operator { path, cause: e.to_string() })?
             }
         };
         let (_, text) = told.platform()?;
         let json = &mut serde_json::Deserializer::from_str(&text);
-        let file: File = serde_path_to_error::deserialize(json).map_err(|e| format!("config: {e}"))?;
-        let address = |name: &str, field: &str, text: String| {
+        let file: File =
+            serde_path_to_error::deserialize(json).map_err(|e| ConfigError::Shape(e.to_string()))?;
+        let address = |name: &str, field: &'static str, text: String| {
             let text = variable(name).unwrap_or(text);
-            text.parse().map_err(|_| format!("config: {field}: not an address and port: {text}"))
+            text.parse().map_err(|_| ConfigError::Address { field, text })
         };
-        let site =
-            curlewusher_settings::read_from(file.settings).map_err(|e| format!("config: settings.{e}"))?;
-        if file.limits.sockets < 64 {
-            return Err("config: limits.sockets: under 64 a node cannot serve".into());
+        let site = curlewusher_settings::read_from(file.settings).map_err(ConfigError::Settings)?;
+        if file.limits.sockets < LEAST_SOCKETS {
+            return Err(ConfigError::Sockets);
         }
         Ok(Config {
             name: variable("RELAY_NAME").unwrap_or(file.name),
@@ -124,8 +167,7 @@
                 Some(text) => Some(address("RELAY_CONSOLE", "console", text)?),
                 None => None,
             },
-            seed: u64::from_str_radix(&file.seed, 16)
-                .map_err(|_| format!("config: seed: not a hexadecimal number of 64 bits: {}", file.seed))?,
+            seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?,
             limits: file.limits,
             known: file.known,
             site,
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -57,7 +57,7 @@
     let told = config::Told { operator: line.operator };
     let done = match line.command.unwrap_or(Command::Serve) {
         Command::Serve => serve::run(&told),
-        Command::Check => check::run(&told).map_err(Problem::Configuration),
+        Command::Check => check::run(&told).map_err(Problem::Config),
         Command::Completions { shell } => {
             clap_complete::generate(
                 shell,
@@ -68,11 +68,7 @@
             Ok(())
         }
     };
-    let (code, problem) = match done {
-        Ok(()) => return ExitCode::SUCCESS,
-        Err(Problem::Configuration(problem)) => (2, problem),
-        Err(Problem::Failure(problem)) => (1, problem),
-    };
+    let Err(problem) = done else { return ExitCode::SUCCESS };
     eprintln!("curlewusher: {problem}");
-    ExitCode::from(code)
+    ExitCode::from(if problem.stays() { 2 } else { 1 })
 }
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,19 +1,22 @@
 //! Owns the start of the parts and the order of their end. It must never do the work of a part.
 
 use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
-use curlewusher::Dispatcher;
+use curlewusher::{Dispatcher, SettingsError};
+use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tracing::{error, info};
 
-use crate::config::{Config, Told};
-use crate::console;
+use crate::config::{Config, ConfigError, Told};
+use crate::console::{self, ConsoleError};
 use crate::counters::{Counter, Counters};
 use crate::dispatch::{Clock, Dispatch, Notice, QUEUE_ROOM};
 use crate::handover::Peer;
@@ -41,11 +44,38 @@
 const LEAST_SOCKETS: usize = 24;
 
 /// Why it does not serve, or no longer.
+#[derive(Debug, Error)]
 pub enum Problem {
-    /// What it was told cannot be used here: another start with the same ends the same way.
-    Configuration(String),
-    /// Anything else; another start may do.
-    Failure(String),
+    /// What it was told cannot be used.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// The second address cannot be used.
+    #[error(transparent)]
+    Console(#[from] ConsoleError),
+    /// The address for clients cannot be used.
+    #[error(
+        "config: listen: {listen}: {cause}; give `listen` an address of this machine that no other program has"
+    )]
+    Listen { listen: SocketAddr, cause: io::Error },
+    /// The settings cannot be decided by.
+    #[error("config: {0}")]
+    Settings(#[from] SettingsError),
+    /// The log cannot be written as the operator's file wants it.
+    #[error("operator file: log: {0}")]
+    Log(String),
+    /// The system does not give what any program needs.
+    #[error("{what}: {cause}; raise the limits of this user, and start it again")]
+    System { what: &'static str, cause: io::Error },
+    /// A part that must not end has ended.
+    #[error("{0} has ended; start the node again, and report this with the lines before it")]
+    Part(&'static str),
+}
+
+impl Problem {
+    /// Whether another start with the same configuration ends the same way.
+    pub fn stays(&self) -> bool {
+        !matches!(self, Problem::System { .. } | Problem::Part(_))
+    }
 }
 
 /// Serves until SIGTERM.
@@ -53,21 +83,19 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
-        .map_err(|e| Problem::Failure(format!("the runtime does not start: {e}")))?;
+        .map_err(|cause| Problem::System { what: "the runtime does not start", cause })?;
     LocalSet::new().block_on(&runtime, serve(told))
 }
 
 async fn serve(told: &Told) -> Result<(), Problem> {
-    use Problem::{Configuration, Failure};
-
     // Before all else: until a signal is handled it ends the program.
-    let handle = |kind, name| signal(kind).map_err(|e| Failure(format!("{name}: {e}")));
+    let handle = |kind, what| signal(kind).map_err(|cause| Problem::System { what, cause });
     let mut terminate = handle(SignalKind::terminate(), "SIGTERM")?;
     let mut hang_up = handle(SignalKind::hangup(), "SIGHUP")?;
 
-    let config = Config::read(told).map_err(Configuration)?;
+    let config = Config::read(told)?;
     let Config { name, listen, discovery, console, seed, limits, known, mut site, operator } = config;
-    let logs = Logs::start(&operator.log).map_err(Configuration)?;
+    let logs = Logs::start(&operator.log).map_err(Problem::Log)?;
     let sender_side_tuning = Rc::new(Cell::new(operator.sender_side));
     let next_hop_tuning = Rc::new(Cell::new(operator.next_hop));
     let lifecycle = Lifecycle::new();
@@ -79,8 +107,7 @@
     site.decisions.max_advice = site.max_retry_after;
     // On sockets a 202 tells that a next hop is there, long before the job starts.
     site.decisions.accepts_within = site.connect_timeout + ACCEPTANCE;
-    let dispatcher =
-        Dispatcher::new(site.decisions.clone(), seed).map_err(|e| Configuration(format!("config: {e}")))?;
+    let dispatcher = Dispatcher::new(site.decisions.clone(), seed)?;
 
     let longest = site.decisions.classes.iter().map(|class| Duration::from_micros(class.give_up)).max();
     let answered_within = DRAIN_AT_MOST.min(longest.unwrap_or_default()) + DRAIN_AT_LEAST - LAST_ANSWERS;
@@ -127,7 +154,7 @@
         Bounds { room: Places::new(all - all / 3, half - half / 3), tuning: sender_side_tuning.clone() },
     );
     let opened = console.map(|at| console::open(at, lifecycle.clone())).transpose();
-    let (operators, calls) = opened.map_err(|e| Configuration(e.to_string()))?.unzip();
+    let (operators, calls) = opened?.unzip();
 
     // Where there is no second address nobody starts a version beside another.
     let folder = console.and_then(|_| std::env::var_os("TMPDIR")).map(PathBuf::from);
@@ -136,10 +163,7 @@
         _ = terminate.recv() => return Ok(()),
     };
     let listener = beginning.listener().unwrap_or_else(|| sender_side.listen(listen, console.is_some()));
-    let unusable = |e| {
-        let remedy = "give `listen` an address of this machine that no other program has";
-        Configuration(format!("config: listen: {listen}: {e}; {remedy}"))
-    };
+    let unusable = |cause| Problem::Listen { listen, cause };
     let bound = listener.and_then(|listener| Ok((listener.local_addr()?, listener.try_clone()?, listener)));
     let (serves_on, for_successors, listener) = bound.map_err(unusable)?;
     let listener = TcpListener::from_std(listener).map_err(unusable)?;
@@ -215,13 +239,13 @@
     tokio::select! {
         () = ended => {}
         // Without its second address nobody could end a drain.
-        () = operated => return Err(Failure("the second address is gone".into())),
+        () = operated => return Err(Problem::Part("the second address")),
         // Without its signals it could still serve, but nobody could tell it anything.
-        () = reloads => return Err(Failure("SIGHUP is no longer delivered".into())),
-        end = dispatch => return Err(Failure(format!("the dispatch task ended: {end:?}"))),
-        end = upgrading => return Err(Failure(format!("the upgrade task ended: {end:?}"))),
-        end = map => return Err(Failure(format!("the transport map ended: {end:?}"))),
-        end = sweep => return Err(Failure(format!("the sweep of idle connections ended: {end:?}"))),
+        () = reloads => return Err(Problem::Part("the delivery of SIGHUP")),
+        _ = dispatch => return Err(Problem::Part("the dispatch task")),
+        _ = upgrading => return Err(Problem::Part("the upgrade task")),
+        _ = map => return Err(Problem::Part("the transport map")),
+        _ = sweep => return Err(Problem::Part("the sweep of idle connections")),
     }
     logs.figures(&counters.text());
     Ok(())
