Two tests of daily operation fail without the code that they name

Need: with the closing of idle connections, or the gate for workers that are out, taken away, two tests of real processes still passed: an unused connection is closed after 2.7 s anyway, and the job went to the other worker by chance. Change: the idle client has been served once; the worker that is out is the only one left, and what comes is turned away. Measured: both fail without that code (20 s without an end; a job that came to the worker), and pass with it.

--- a/crates/node/tests/operation/mod.rs
+++ b/crates/node/tests/operation/mod.rs
@@ -13,6 +13,9 @@
     let operators = node.operators();
     assert_eq!(call(operators, "READY\n"), "+OK");
     let (mut idle, mut busy) = (Client::connect(node.address), Client::connect(node.address));
+    // One that was used once may stand idle for a minute.
+    idle.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert_eq!(idle.answer().map(|answer| answer.status()), Some(200));
     busy.send(&job("r1", "order", 8.0, ""));
     let got = hop.next();
     got.answer("202 Accepted");
@@ -100,7 +103,11 @@
     watch.line(&list(43, false, &[line(&first, "s-1", "terminated")]));
     serve("r1", &second, "s-2");
     watch.line(&list(44, false, std::slice::from_ref(&again)));
-    (0..4).for_each(|n| serve(&format!("r2{n}"), &second, "s-2"));
+    // It is the only one that is left: what comes is turned away.
+    watch.line(&list(45, false, &[line(&second, "s-2", "terminated")]));
+    while node.count("curlewusher_transport_map_changes_total") < 5 {}
+    assert_eq!(answer(write(node.address, &job("r2", "view", 0.3, ""))).status(), 503);
+    watch.line(&list(46, false, &[line(&second, "s-2", "in_service")]));
     assert!(!first.has_more(), "it is out");
     watch.end();
     assert_eq!(call(operators, "ENABLE s-1\n"), "+OK");
