--- a/crates/node/src/check.rs
+++ b/crates/node/src/check.rs
@@ -29,6 +29,7 @@
     for (field, variable) in VARIABLES {
         match told.variable(variable) {
             Some(value) => _ = writeln!(out, "{field} = {:?}  # {variable}", value),
+            None if written[field].is_null() => _ = writeln!(out, "{field} is not given  # default"),
             None => _ = writeln!(out, "{field} = {}  # {path}", written[field]),
         }
     }
--- a/crates/node/tests/command_line/mod.rs
+++ b/crates/node/tests/command_line/mod.rs
@@ -37,6 +37,7 @@
     for (value, source) in [
         ("listen = \"127.0.0.1:0\"", ".json"),
         ("limits.sockets = 1024", ".json"),
+        ("console is not given", "default"),
         ("settings.rules.coldShare = 0.2", ".json"),
         ("settings.services[2].dedupWindowUs = 40000000", ".json"),
         ("settings.services[0].keyScope = \"\"", "default"),
@@ -56,6 +57,11 @@
         (Some(usual()), Some("[log]\nformat = \"xml\"\n"), &[".toml", "line 2", "log.format", "`json`"][..]),
         (Some(broken), None, &["settings", "cold_share"][..]),
         (Some("{".to_owned()), None, &["config", "line 1"][..]),
+        (
+            Some(usual().replacen("{", r#"{"console":"nowhere","#, 1)),
+            None,
+            &["config: console", "nowhere", "give one"][..],
+        ),
         (None, None, &["RELAY_CONFIG is not set"][..]),
     ] {
         let out = run(&["check"], config.as_deref(), operator);
