Test modules for the narrow moments, one a concern

Change: one module of tests for clients' connections, links to next hops, the watch, moves between processes, and random lives; a scripted next hop can write any bytes. No test yet, so nothing is measured.

--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -90,6 +90,11 @@
         (&self.stream).write_all(text.as_bytes()).expect("the node reads");
     }
 
+    /// Writes these bytes, whatever they are.
+    pub fn say(&self, bytes: &str) {
+        (&self.stream).write_all(bytes.as_bytes()).expect("the node reads");
+    }
+
     /// Ends the connection without an answer.
     pub fn reset(&self) {
         self.stream.shutdown(std::net::Shutdown::Both).expect("it was open");
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -2,7 +2,12 @@
 
 mod command_line;
 mod common;
+mod connections;
+mod links;
+mod moves;
 mod operation;
+mod random_lives;
+mod watch;
 
 use std::io::{Read, Write};
 use std::net::TcpListener;
