Lists of a watch are read as JSON values, however they are indented or cut

Lists may come indented, but Watch::next split what it read at each newline and took each part for a list: an indented list broke the watch, each new watch got the same list, and the node went on with what it had. A plain list (Content-Length, no newline behind it) that ended was dropped unread with the watch. The search for the newline began anew at each piece, so that a long line in tiny pieces cost quadratic time. Now a scan remembers how deep it stands and whether in a string, looks at each byte once, and hands over a list at its closing brace, whether or not a line's end follows. A list that is spoilt breaks the watch before it swallows those behind it: what has come is checked each time it has doubled. The errors are a type, WatchError, each with what an operator can do. The connection is driven by whoever waits for it in place of a task of its own, so that it ends with the watch; its frames count before the time-out of silence. Without it an_indented_list_in_the_smallest_pieces_is_read, a_plain_list_that_ends_without_a_line_s_end_counts and a_spoilt_list_breaks_the_watch_before_it_swallows_the_next fail (the last for what the line says).

--- a/crates/node/src/transport_map.rs
+++ b/crates/node/src/transport_map.rs
@@ -1,19 +1,23 @@
 //! Owns the watch on discovery's list, the transport map, and its translation into the module's listings.
 //! It must never keep back, reorder or judge a change: each goes to the dispatch task the moment it is read.
 
-use std::future::{Future, pending};
+use std::future::{Future, pending, poll_fn};
+use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use curlewusher::{CellId, KindId, Life, Listing, WorkerId, ZoneId};
 use curlewusher_settings::Site;
-use http_body_util::{BodyExt, Empty};
-use hyper::body::Incoming;
+use http_body_util::Empty;
+use hyper::body::{Body, Incoming};
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
+use serde::de::IgnoredAny;
+use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, timeout, timeout_at};
@@ -31,8 +35,8 @@
 /// all must be told within 4 s: one call that hangs must leave time for a second.
 const ANSWER: Duration = Duration::from_millis(2200);
 const CONNECT: Duration = Duration::from_millis(700);
-/// No line is longer than this; a line beyond it is nonsense.
-const LONGEST_LINE: usize = 1 << 20;
+/// No list is longer than this; what goes on beyond it is nonsense.
+const LONGEST_LIST: usize = 1 << 20;
 
 /// A list or a change of it, as discovery writes it.
 #[derive(Clone, Debug, Deserialize)]
@@ -117,69 +121,198 @@
     }
 }
 
+/// Why a watch could not be opened, or is no more. Each is counted, and another call follows.
+#[derive(Debug, Error)]
+pub enum WatchError {
+    /// Nobody listens there, or the connection was refused.
+    #[error("discovery cannot be reached: {0}; see that it runs at the address in the configuration")]
+    Unreachable(io::Error),
+    /// No connection came up.
+    #[error(
+        "discovery cannot be reached in time; see that its machine runs and that the network lets calls through"
+    )]
+    NoConnection,
+    /// What is there does not speak HTTP, or the connection broke before an answer.
+    #[error(
+        "discovery does not answer: {0}; see that it runs, and that its address is that of no other service"
+    )]
+    NoAnswer(hyper::Error),
+    /// An address that cannot stand in a request.
+    #[error("discovery cannot be asked: {0}; give it an address and port in the configuration")]
+    Request(#[from] hyper::http::Error),
+    /// An answer, but no list.
+    #[error("discovery answered {0}; where that lasts, see whether it is overloaded")]
+    Status(StatusCode),
+    /// The call hangs.
+    #[error(
+        "the watch did not begin in time; where that lasts, see whether discovery hangs or is overloaded"
+    )]
+    Late,
+    /// The connection broke.
+    #[error("the watch broke: {0}; where that lasts, see whether discovery is being restarted")]
+    Broke(hyper::Error),
+    /// The answer ended.
+    #[error("the watch ended; where that lasts, see whether discovery serves watches at that address")]
+    Ended,
+    /// Neither a list nor an empty line has come in time.
+    #[error("the watch fell silent; where that lasts, see whether discovery hangs or the network is cut")]
+    Silent,
+    /// Something else than a list.
+    #[error(
+        "a list of the watch cannot be read: {0}; see that discovery's version is one that this node knows"
+    )]
+    NotAList(#[from] serde_json::Error),
+    /// Bytes that begin no list.
+    #[error(
+        "the watch has a byte {0:#04x} where a list should be; see whether something spoils it on the way"
+    )]
+    Spoilt(u8),
+    /// A list beyond all bounds.
+    #[error("a list of the watch is over {LONGEST_LIST} bytes; see whether discovery lists far too much")]
+    TooLong,
+}
+
+/// Finds the lists in what a watch brings, however it is cut into pieces and indented. Looks at each byte once.
+#[derive(Default)]
+struct Scan {
+    text: BytesMut,
+    /// So much of the text has been looked at.
+    at: usize,
+    /// Braces and brackets that are open there, and whether it stands in a string, and behind a backslash there.
+    depth: usize,
+    string: bool,
+    escaped: bool,
+    /// A list has ended on this line: its end is no empty line.
+    ended_here: bool,
+    /// So much of a list was seen to be well begun.
+    checked: usize,
+}
+
+impl Scan {
+    /// The next list; `Some(None)` for an empty line between lists, which says that nothing has changed; none
+    /// where more must be read first.
+    fn next(&mut self) -> Result<Option<Option<ListMessage>>, WatchError> {
+        while let Some(&byte) = self.text.get(self.at) {
+            self.at += 1;
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.string => self.escaped = true,
+                b'"' if self.depth > 0 => self.string = !self.string,
+                _ if self.string => {}
+                b'{' => self.depth += 1,
+                b'[' if self.depth > 0 => self.depth += 1,
+                b'}' | b']' if self.depth > 0 => {
+                    self.depth -= 1;
+                    if self.depth == 0 {
+                        self.ended_here = true;
+                        return Ok(Some(Some(serde_json::from_slice(&self.pass())?)));
+                    }
+                }
+                b'\n' if self.depth == 0 => {
+                    self.pass();
+                    if !std::mem::take(&mut self.ended_here) {
+                        return Ok(Some(None));
+                    }
+                }
+                _ if self.depth > 0 || byte.is_ascii_whitespace() => {}
+                _ => return Err(WatchError::Spoilt(byte)),
+            }
+        }
+        if self.text.len() > LONGEST_LIST {
+            return Err(WatchError::TooLong);
+        }
+        // A spoilt list could swallow those behind it. What has come is read again only once it has doubled,
+        // so that tiny pieces cost no more than twice the whole.
+        if self.depth > 0 && self.text.len() >= 2 * self.checked {
+            self.checked = self.text.len();
+            let begun = serde_json::from_slice::<IgnoredAny>(&self.text);
+            begun.map(drop).or_else(|e| if e.is_eof() { Ok(()) } else { Err(e) })?;
+        }
+        Ok(None)
+    }
+
+    /// Takes out what has been looked at.
+    fn pass(&mut self) -> BytesMut {
+        self.checked = 0;
+        self.text.split_to(std::mem::take(&mut self.at))
+    }
+}
+
+/// A connection to discovery. Whoever waits for what it brings drives it, so that it ends, and its descriptor
+/// comes back, in the moment in which that is dropped.
+type Connection = hyper::client::conn::http1::Connection<TokioIo<TcpStream>, Empty<Bytes>>;
+
+/// What `poll` waits for, while the connection is driven. First the connection: what it has read counts before
+/// any time-out.
+async fn drive<T>(
+    connection: &mut Option<Connection>,
+    mut poll: impl FnMut(&mut Context<'_>) -> Poll<T>,
+) -> T {
+    poll_fn(|cx| {
+        if let Some(open) = connection
+            && Pin::new(open).poll(cx).is_ready()
+        {
+            // Its end, good or bad, is told by what it brings.
+            *connection = None;
+        }
+        poll(cx)
+    })
+    .await
+}
+
 /// A watch that is open: what was read of it, and when anything last was.
 struct Watch {
     from: SocketAddr,
+    connection: Option<Connection>,
     body: Incoming,
-    text: BytesMut,
+    scan: Scan,
     heard: Instant,
 }
 
 /// A watch that is being opened, up to its first line.
-type Opening = Pin<Box<dyn Future<Output = Result<(Watch, Option<ListMessage>), String>>>>;
+type Opening = Pin<Box<dyn Future<Output = Result<(Watch, Option<ListMessage>), WatchError>>>>;
 
 impl Watch {
-    async fn open(from: SocketAddr, index: u64) -> Result<Self, String> {
+    async fn open(from: SocketAddr, index: u64) -> Result<Self, WatchError> {
         let stream = match timeout(CONNECT, TcpStream::connect(from)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(e)) => return Err(format!("discovery cannot be reached: {e}")),
-            Err(_) => return Err("discovery cannot be reached in time".into()),
+            Ok(stream) => stream.map_err(WatchError::Unreachable)?,
+            Err(_) => return Err(WatchError::NoConnection),
         };
         let _ = stream.set_nodelay(true);
-        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|e| format!("discovery: {e}"))?;
-        // It ends with the body that is read from it.
-        tokio::task::spawn_local(connection);
+        let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let (mut sender, connection) = shaken.map_err(WatchError::NoAnswer)?;
+        let mut connection = Some(connection);
         let request = Request::get(format!("/v1/endpoints?follow=1&since={index}"))
             .header(header::HOST, from.to_string())
-            .body(Empty::<Bytes>::new())
-            .map_err(|e| format!("discovery: {e}"))?;
-        let response = sender.send_request(request).await.map_err(|e| format!("discovery: {e}"))?;
+            .body(Empty::<Bytes>::new())?;
+        let mut answer = pin!(sender.send_request(request));
+        let response = drive(&mut connection, |cx| answer.as_mut().poll(cx)).await;
+        let response = response.map_err(WatchError::NoAnswer)?;
         match response.status() {
             StatusCode::OK => {
-                let (text, heard) = (BytesMut::new(), Instant::now());
-                Ok(Watch { from, body: response.into_body(), text, heard })
+                let (body, heard) = (response.into_body(), Instant::now());
+                Ok(Watch { from, connection, body, scan: Scan::default(), heard })
             }
-            status => Err(format!("discovery answered {status}")),
+            status => Err(WatchError::Status(status)),
         }
     }
 
-    /// The next line; none where it says that nothing has changed. May be dropped and called again: what was
-    /// read and the time of it stay with the watch.
-    async fn next(&mut self) -> Result<Option<ListMessage>, String> {
+    /// The next list; none where an empty line says that nothing has changed. May be dropped and called again:
+    /// what was read and the time of it stay with the watch.
+    async fn next(&mut self) -> Result<Option<ListMessage>, WatchError> {
         loop {
-            if let Some(end) = self.text.iter().position(|b| *b == b'\n') {
-                let line = self.text.split_to(end);
-                self.text.advance(1);
-                if line.trim_ascii().is_empty() {
-                    return Ok(None);
-                }
-                let message = serde_json::from_slice(&line);
-                return message.map(Some).map_err(|e| format!("a line of the watch cannot be read: {e}"));
-            }
-            if self.text.len() > LONGEST_LINE {
-                return Err("a line of the watch is too long".into());
+            if let Some(list) = self.scan.next()? {
+                return Ok(list);
             }
-            let frame = match timeout_at(self.heard + SILENCE, self.body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(e))) => return Err(format!("the watch broke: {e}")),
-                Ok(None) => return Err("the watch ended".into()),
-                Err(_) => return Err("the watch fell silent".into()),
+            let frame = drive(&mut self.connection, |cx| Pin::new(&mut self.body).poll_frame(cx));
+            let frame = match timeout_at(self.heard + SILENCE, frame).await {
+                Ok(Some(frame)) => frame.map_err(WatchError::Broke)?,
+                Ok(None) => return Err(WatchError::Ended),
+                Err(_) => return Err(WatchError::Silent),
             };
             self.heard = Instant::now();
             if let Ok(data) = frame.into_data() {
-                self.text.extend_from_slice(&data);
+                self.scan.text.extend_from_slice(&data);
             }
         }
     }
@@ -284,7 +417,7 @@
                 let first = watch.next().await?;
                 Ok((watch, first))
             };
-            timeout(ANSWER, open).await.unwrap_or_else(|_| Err("the watch did not begin in time".into()))
+            timeout(ANSWER, open).await.unwrap_or(Err(WatchError::Late))
         })
     }
 }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -172,6 +172,11 @@
         (&self.0.stream).write_all(chunk.as_bytes()).expect("the node reads");
     }
 
+    /// Writes these bytes, which may be no line.
+    pub fn say(&self, bytes: &str) {
+        self.0.say(bytes);
+    }
+
     pub fn end(&self) {
         self.0.reset();
     }
--- a/crates/node/tests/watch/mod.rs
+++ b/crates/node/tests/watch/mod.rs
@@ -1,1 +1,96 @@
 //! The watch on discovery in its narrow moments: silence, pieces, spoilt lines, changes of address.
+
+use std::time::Instant;
+
+use crate::common::*;
+
+const CHANGES: &str = "curlewusher_transport_map_changes_total";
+const FAILURES: &str = "curlewusher_transport_map_failures_total";
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Waits until a counter stands at that.
+fn reaches(node: &Node, series: &str, value: u64) {
+    let begun = Instant::now();
+    while node.count(series) < value {
+        assert!(begun.elapsed() < LONG, "{series} stays at {}", node.count(series));
+    }
+}
+
+/// Has jobs served, all of which must go to that next hop.
+fn all_go_to(node: &Node, hop: &Server, name: &str, jobs: &str) {
+    for i in 0..3 {
+        let id = format!("{jobs}{i}");
+        let client = write(node.address, &job(&id, "view", 9.0, ""));
+        hop.request().answer("202 Accepted");
+        node.tell(&id, name, r#""state":"done","result":"x""#);
+        assert_eq!(answer(client).status(), 200);
+    }
+}
+
+/// A call for a watch, checked to be one, and the version that it has.
+fn since(got: &Got) -> &str {
+    let version = got.message.start.strip_prefix("GET /v1/endpoints?follow=1&since=");
+    version.and_then(|rest| rest.split(' ').next()).unwrap_or_else(|| panic!("{}", got.message.start))
+}
+
+#[test]
+fn an_indented_list_in_the_smallest_pieces_is_read() {
+    let (first, second) = (Server::start(), Server::start());
+    let (node, watch, discovery) = Node::with(&[("s-1", &first), ("s-2", &second)]);
+    reaches(&node, CHANGES, 2);
+    let nowhere = "127.0.0.1:9".parse().expect("an address");
+    let mut all: Vec<_> =
+        (0..200).map(|i| endpoint(&format!(r#"s-{i}\\\"}}]{{["#), nowhere, "terminating")).collect();
+    all.push(endpoint("s-1", first.address, "terminating"));
+    all.push(endpoint("s-2", second.address, "in_service"));
+    let indented = list(43, true, &all).replace(",\"", ",\n    \"").replace("{\"", "{\n\n  \"");
+    // A line that has whole lists, and no end of its own, comes behind it in the same pieces.
+    let two = list(44, false, &[]) + &list(45, false, &all[..1]);
+    let pieces: String = (indented + "\n" + &two).chars().map(|c| chunk(&c.to_string())).collect();
+    watch.say(&pieces);
+    reaches(&node, CHANGES, 5);
+    all_go_to(&node, &second, "s-2", "r");
+    assert!(!first.has_more(), "it drains");
+    assert_eq!(node.count(FAILURES), 0);
+    watch.end();
+    assert_eq!(Watch::open(&discovery).since(), "45");
+}
+
+#[test]
+fn a_plain_list_that_ends_without_a_line_s_end_counts() {
+    let (discovery, first, second) = (Server::start(), Server::start(), Server::start());
+    let known = endpoint("s-1", first.address, "in_service");
+    let node = Node::start(&config(discovery.address, &[known]));
+    let list = list(
+        50,
+        true,
+        &[endpoint("s-1", first.address, "terminating"), endpoint("s-2", second.address, "in_service")],
+    );
+    let length = list.len();
+    discovery.request().say(&format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{list}"));
+    assert_eq!(since(&discovery.request()), "50");
+    all_go_to(&node, &second, "s-2", "r");
+    assert!(!first.has_more(), "it drains");
+}
+
+#[test]
+fn a_spoilt_list_breaks_the_watch_before_it_swallows_the_next() {
+    let spoilt = ["\u{0}\u{1}nonsense", r#"{"index":43,"snapshot":fal"#, "[", "}", "{]", r#"{"a "#];
+    for spoilt in spoilt {
+        let hop = Server::start();
+        let (node, watch, discovery) = Node::with(&[("s-1", &hop)]);
+        reaches(&node, CHANGES, 2);
+        let next = list(44, false, &[endpoint("s-1", hop.address, "terminated")]);
+        watch.say(&(chunk(&format!("{spoilt}\n")) + &chunk(&next)));
+        let again = Watch::open(&discovery);
+        assert_eq!((again.since(), node.count(FAILURES)), ("42", 1), "{spoilt}");
+        let said = node.says_of("transport map: ");
+        assert!(said.contains("see ") && !said.contains("silent"), "{said}");
+        again.line(&list(45, true, &[endpoint("s-1", hop.address, "in_service")]));
+        reaches(&node, CHANGES, 3);
+        all_go_to(&node, &hop, "s-1", "r");
+    }
+}
