--- a/crates/node/src/transport_map.rs
+++ b/crates/node/src/transport_map.rs
@@ -260,7 +260,7 @@
     .await
 }
 
-/// A watch that is open: what was read of it, and when anything last was.
+/// A watch that is open: what was read of it, and when a whole list or an empty line last was.
 struct Watch {
     from: SocketAddr,
     connection: Option<Connection>,
@@ -302,6 +302,8 @@
     async fn next(&mut self) -> Result<Option<ListMessage>, WatchError> {
         loop {
             if let Some(list) = self.scan.next()? {
+                // Mere bytes are no sign of life: a list that never ends tells nothing.
+                self.heard = Instant::now();
                 return Ok(list);
             }
             let frame = drive(&mut self.connection, |cx| Pin::new(&mut self.body).poll_frame(cx));
@@ -310,7 +312,6 @@
                 Ok(None) => return Err(WatchError::Ended),
                 Err(_) => return Err(WatchError::Silent),
             };
-            self.heard = Instant::now();
             if let Ok(data) = frame.into_data() {
                 self.scan.text.extend_from_slice(&data);
             }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -95,6 +95,11 @@
         (&self.stream).write_all(bytes.as_bytes()).expect("the node reads");
     }
 
+    /// The same for a node that may have ended the connection: whether it could be written.
+    pub fn try_say(&self, bytes: &str) -> bool {
+        (&self.stream).write_all(bytes.as_bytes()).is_ok()
+    }
+
     /// Ends the connection without an answer.
     pub fn reset(&self) {
         self.stream.shutdown(std::net::Shutdown::Both).expect("it was open");
@@ -177,6 +182,10 @@
         self.0.say(bytes);
     }
 
+    pub fn try_say(&self, bytes: &str) -> bool {
+        self.0.try_say(bytes)
+    }
+
     pub fn end(&self) {
         self.0.reset();
     }
--- a/crates/node/tests/watch/mod.rs
+++ b/crates/node/tests/watch/mod.rs
@@ -1,9 +1,11 @@
 //! The watch on discovery in its narrow moments: silence, pieces, spoilt lines, changes of address.
 
-use std::time::Instant;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use crate::common::*;
 
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const CHANGES: &str = "curlewusher_transport_map_changes_total";
 const FAILURES: &str = "curlewusher_transport_map_failures_total";
 
@@ -76,6 +78,28 @@
     assert!(!first.has_more(), "it drains");
 }
 
+#[test]
+fn bytes_that_never_become_a_list_are_silence() {
+    for (begin, piece) in [(r#"{"index":43,"#, ""), ("{", " "), ("", " "), ("{", "\n")] {
+        let (node, watch, discovery) = Node::with(&[]);
+        reaches(&node, CHANGES, 2);
+        watch.say(&chunk(&format!("{begin} ")));
+        let begun = Instant::now();
+        let next = loop {
+            if let Some(next) = discovery.waiting() {
+                break next;
+            }
+            assert!(begun.elapsed() < LONG, "{begin:?} and {piece:?} pass for life");
+            // The pace of a peer that trickles. The node may have gone in this moment.
+            thread::sleep(Duration::from_millis(50));
+            if !piece.is_empty() {
+                watch.try_say(&chunk(piece));
+            }
+        };
+        assert_eq!((since(&next), node.count(FAILURES)), ("42", 1));
+    }
+}
+
 #[test]
 fn a_spoilt_list_breaks_the_watch_before_it_swallows_the_next() {
     let spoilt = ["\u{0}\u{1}nonsense", r#"{"index":43,"snapshot":fal"#, "[", "}", "{]", r#"{"a "#];
@@ -94,3 +118,19 @@
         all_go_to(&node, &hop, "s-1", "r");
     }
 }
+
+#[test]
+fn a_watch_that_is_given_up_gives_its_descriptor_back() {
+    // A peer that is silent notices nothing unless the connection ends.
+    let discovery = Server::start();
+    let _node = Node::start(&config(discovery.address, &[]));
+    let first = discovery.request();
+    first.say(HEAD);
+    first.say(&chunk("\n"));
+    let end = discovery.next();
+    assert_eq!((end.message.start.as_str(), end.connection), ("", 0));
+    // So does a call that is never answered.
+    assert_eq!(since(&discovery.request()), "41");
+    let end = std::iter::repeat_with(|| discovery.next()).find(|got| got.message.start.is_empty());
+    assert_eq!(end.expect("endless").connection, 1);
+}
