A move of discovery loses no call under way, and does not end while the old watch tells

Two faults in the moment of a SIGHUP. A call that was under way at the old address was dropped, and with it a list that discovery had written to it, which counts as told. And where the first call at the new address failed while the old watch was open, the next list of the old one counted as the answer that the module waits for: `listed` clears ask_at, so that nobody called the new address until the old watch broke. Ruled out: that the hand-over to a new watch loses lines of the old that are unread. The new one begins with all since the same version, or with the whole list. Calls now owns what is open, under way and due, each with the era (how often discovery had moved) that it is of. Calls at an old address go on until a watch has begun at the new. While an old watch is open and no call is under way or due, the next is made in this node's turn; the module is told once, when nothing is left. Without it what_a_call_at_the_old_address_still_brings_counts fails (the drain is never heard), and the_new_address_is_called_until_it_answers_while_the_old_watch_still_tells (no call until the old one is silent).

--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -26,7 +26,7 @@
 use crate::operate::Operations;
 use crate::places::Places;
 use crate::sender_side::{Bounds, SenderSide};
-use crate::transport_map::{Names, TransportMap};
+use crate::transport_map::{Names, Pace, TransportMap};
 use crate::upgrade::{Beginning, Parts, Upgrade};
 
 /// Descriptors that are neither for clients nor for next hops: standard streams, discovery, the listener, the
@@ -142,6 +142,7 @@
         queue: queue.clone(),
         there,
         counters: counters.clone(),
+        pace: Pace::new(&site.decisions),
     };
     let ending = queue.clone();
     let sender_side = SenderSide::new(
--- a/crates/node/src/transport_map.rs
+++ b/crates/node/src/transport_map.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use curlewusher::{CellId, KindId, Life, Listing, WorkerId, ZoneId};
+use curlewusher::{CellId, KindId, Life, Listing, Settings, WorkerId, ZoneId};
 use curlewusher_settings::Site;
 use http_body_util::Empty;
 use hyper::body::{Body, Incoming};
@@ -20,7 +20,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 use tracing::{debug, warn};
 
 use crate::counters::{Counter, Counters};
@@ -28,13 +28,16 @@
 use crate::logs::TRANSPORT_MAP;
 use crate::next_hop::Parcel;
 
-/// A watch sends a line every 2 s. What it has to tell counts as told after 6 s, and work must stop 0.75 s
-/// later: silence must be noticed early enough for a second watch to bring the change in that time.
+/// A watch sends a line every 2 s. One that is late by half of that, on a slow network or machine, is not silent
+/// yet: all nodes would call at once.
 const SILENCE: Duration = Duration::from_millis(3000);
-/// Discovery serves calls one after another and gives up those that wait for 2 s. After a change of its address
-/// all must be told within 4 s: one call that hangs must leave time for a second.
+/// Discovery serves calls one after another and gives up those that wait for 2 s.
 const ANSWER: Duration = Duration::from_millis(2200);
 const CONNECT: Duration = Duration::from_millis(700);
+/// Discovery serves a call in less than this.
+const CALL: Duration = Duration::from_millis(70);
+/// A call in turn is this far behind one that failed.
+const LOST: Duration = Duration::from_millis(1200);
 /// No list is longer than this; what goes on beyond it is nonsense.
 const LONGEST_LIST: usize = 1 << 20;
 
@@ -240,7 +243,7 @@
 
 /// A connection to discovery. Whoever waits for what it brings drives it, so that it ends, and its descriptor
 /// comes back, in the moment in which that is dropped.
-type Connection = hyper::client::conn::http1::Connection<TokioIo<TcpStream>, Empty<Bytes>>;
+type Connection = Box<hyper::client::conn::http1::Connection<TokioIo<TcpStream>, Empty<Bytes>>>;
 
 /// What `poll` waits for, while the connection is driven. First the connection: what it has read counts before
 /// any time-out.
@@ -262,7 +265,8 @@
 
 /// A watch that is open: what was read of it, and when a whole list or an empty line last was.
 struct Watch {
-    from: SocketAddr,
+    /// How often discovery had moved when it was called.
+    era: u32,
     connection: Option<Connection>,
     body: Incoming,
     scan: Scan,
@@ -273,7 +277,7 @@
 type Opening = Pin<Box<dyn Future<Output = Result<(Watch, Option<ListMessage>), WatchError>>>>;
 
 impl Watch {
-    async fn open(from: SocketAddr, index: u64) -> Result<Self, WatchError> {
+    async fn open(from: SocketAddr, era: u32, index: u64) -> Result<Self, WatchError> {
         let stream = match timeout(CONNECT, TcpStream::connect(from)).await {
             Ok(stream) => stream.map_err(WatchError::Unreachable)?,
             Err(_) => return Err(WatchError::NoConnection),
@@ -281,7 +285,7 @@
         let _ = stream.set_nodelay(true);
         let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
         let (mut sender, connection) = shaken.map_err(WatchError::NoAnswer)?;
-        let mut connection = Some(connection);
+        let mut connection = Some(Box::new(connection));
         let request = Request::get(format!("/v1/endpoints?follow=1&since={index}"))
             .header(header::HOST, from.to_string())
             .body(Empty::<Bytes>::new())?;
@@ -291,7 +295,7 @@
         match response.status() {
             StatusCode::OK => {
                 let (body, heard) = (response.into_body(), Instant::now());
-                Ok(Watch { from, connection, body, scan: Scan::default(), heard })
+                Ok(Watch { era, connection, body, scan: Scan::default(), heard })
             }
             status => Err(WatchError::Status(status)),
         }
@@ -319,7 +323,163 @@
     }
 }
 
-/// The task that watches discovery, whenever the dispatch task asks for it.
+/// When this node calls discovery of its own accord. Else it does so where the dispatch task asks for it.
+pub struct Pace {
+    /// By then discovery has served a call of each node before this one.
+    turn: Duration,
+}
+
+impl Pace {
+    pub fn new(settings: &Settings) -> Self {
+        let (all, turn) = (CALL * settings.nodes, CALL * settings.rank);
+        Pace { turn: turn.min(all) }
+    }
+}
+
+/// A call for a watch that has not begun.
+struct Call {
+    era: u32,
+    opening: Opening,
+}
+
+/// What comes of discovery next, and in which era that was called.
+enum Came {
+    /// It is time for a call.
+    Due,
+    Begun(u32, Result<(Watch, Option<ListMessage>), WatchError>),
+    Line(u32, Result<Option<ListMessage>, WatchError>),
+}
+
+/// The one place that knows which watch is open, which calls are under way, and when the next is due. While none
+/// of these is at discovery's address, the dispatch task has been told that the list failed, and asks.
+struct Calls {
+    pace: Pace,
+    discovery: SocketAddr,
+    /// How often discovery has moved.
+    era: u32,
+    /// What is known of its list.
+    index: u64,
+    live: Option<Watch>,
+    under_way: Vec<Call>,
+    due: Option<Instant>,
+}
+
+impl Calls {
+    fn call(&mut self) {
+        let (from, era, index) = (self.discovery, self.era, self.index);
+        let opening = Box::pin(async move {
+            let open = async {
+                let mut watch = Watch::open(from, era, index).await?;
+                let first = watch.next().await?;
+                Ok((watch, first))
+            };
+            timeout(ANSWER, open).await.unwrap_or(Err(WatchError::Late))
+        });
+        self.under_way.push(Call { era, opening });
+        self.due = None;
+    }
+
+    fn calls(&self) -> bool {
+        self.under_way.iter().any(|call| call.era == self.era)
+    }
+
+    /// Whether a watch at discovery's address is open, under way, or due.
+    fn stands(&self) -> bool {
+        self.live.as_ref().is_some_and(|live| live.era == self.era) || self.calls() || self.due.is_some()
+    }
+
+    /// Discovery has another address. What is open or under way at the old one goes on until a watch has begun
+    /// at the new: it may still tell of changes.
+    fn moved(&mut self, to: SocketAddr) {
+        self.discovery = to;
+        self.era += 1;
+        // Another discovery counts its changes in its own way: the whole list is wanted.
+        self.index = 0;
+        self.call();
+    }
+
+    /// Waits for what comes next. May be dropped and called again.
+    async fn next(&mut self) -> Came {
+        let Calls { live, under_way, due, .. } = self;
+        let due = async {
+            match due {
+                Some(at) => sleep_until(*at).await,
+                None => pending().await,
+            }
+        };
+        let begun = poll_fn(|cx| {
+            for at in 0..under_way.len() {
+                if let Poll::Ready(begun) = under_way[at].opening.as_mut().poll(cx) {
+                    return Poll::Ready(Came::Begun(under_way.remove(at).era, begun));
+                }
+            }
+            Poll::Pending
+        });
+        let line = async {
+            match live {
+                Some(watch) => Came::Line(watch.era, watch.next().await),
+                None => pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            begun = begun => begun,
+            () = due => Came::Due,
+            line = line => line,
+        }
+    }
+
+    /// What there is to tell of that, and the era that it is of.
+    fn heard(&mut self, came: Came) -> Option<(u32, Result<ListMessage, WatchError>)> {
+        match came {
+            Came::Due => {
+                self.call();
+                None
+            }
+            Came::Begun(era, Ok((watch, first))) => {
+                let now = era == self.era;
+                if now {
+                    // It has all that the others could bring.
+                    self.under_way.clear();
+                    self.due = None;
+                }
+                if self.live.as_ref().is_none_or(|live| live.era <= era) {
+                    self.live = Some(watch);
+                }
+                // A first line without a change says that the list stands: the module waits for that.
+                let unchanged = ListMessage { index: self.index, snapshot: false, endpoints: Vec::new() };
+                first.or(now.then_some(unchanged)).map(|list| (era, Ok(list)))
+            }
+            Came::Begun(era, Err(broken)) => Some((era, Err(broken))),
+            Came::Line(era, Ok(line)) => line.map(|list| (era, Ok(list))),
+            Came::Line(era, Err(broken)) => {
+                self.live = None;
+                Some((era, Err(broken)))
+            }
+        }
+    }
+
+    /// Sees to the next call after a failure. Whether the dispatch task is to be told, and then asks for it.
+    fn failed(&mut self, era: u32) -> bool {
+        let stood = era == self.era || self.stands();
+        // What bridged the time up to a call in turn is gone: it is told, and better asked for soon.
+        if era != self.era && self.live.is_none() {
+            self.due = None;
+        }
+        self.bridged();
+        stood && !self.stands()
+    }
+
+    /// While a watch at an old address is open its lists keep the dispatch task from asking: then the next call
+    /// is made unasked, in this node's turn.
+    fn bridged(&mut self) {
+        if self.live.is_some() && !self.stands() {
+            self.due = Some(Instant::now() + LOST + self.pace.turn);
+        }
+    }
+}
+
+/// The task that watches discovery, whenever the dispatch task asks for it or [`Pace`] has it so.
 pub struct TransportMap {
     pub discovery: SocketAddr,
     pub names: Names,
@@ -328,22 +488,26 @@
     /// Says that a list has come.
     pub there: watch::Sender<bool>,
     pub counters: Counters,
+    pub pace: Pace,
 }
 
 impl TransportMap {
-    /// `moved` tells of a new address of discovery. The old watch is read until the first line of the new one
-    /// has come: in between, changes may still be told by it.
+    /// `moved` tells of a new address of discovery.
     pub async fn run(mut self, mut asked: mpsc::Receiver<()>, mut moved: watch::Receiver<SocketAddr>) {
-        let mut live: Option<Watch> = None;
-        let mut opening: Option<Opening> = None;
+        let mut calls = Calls {
+            due: None,
+            pace: self.pace,
+            discovery: self.discovery,
+            era: 0,
+            index: self.index,
+            live: None,
+            under_way: Vec::new(),
+        };
         loop {
-            let heard = tokio::select! {
+            let came = tokio::select! {
                 biased;
                 Ok(()) = moved.changed() => {
-                    self.discovery = *moved.borrow_and_update();
-                    // Another discovery counts its changes in its own way: the whole list is wanted.
-                    self.index = 0;
-                    opening = Some(self.open());
+                    calls.moved(*moved.borrow_and_update());
                     continue;
                 }
                 asked = asked.recv() => {
@@ -351,54 +515,30 @@
                         return;
                     }
                     // A watch that is open, or about to be, answers this as well.
-                    if opening.is_none() && live.as_ref().is_none_or(|watch| watch.from != self.discovery) {
-                        opening = Some(self.open());
+                    if !calls.stands() {
+                        calls.call();
                     }
                     continue;
                 }
-                opened = async {
-                    match &mut opening {
-                        Some(opening) => opening.await,
-                        None => pending().await,
-                    }
-                } => {
-                    opening = None;
-                    opened.map(|(watch, first)| {
-                        live = Some(watch);
-                        // A first line without a change says that the list stands: the module waits for that.
-                        let unchanged = ListMessage { index: self.index, snapshot: false, endpoints: Vec::new() };
-                        Some(first.unwrap_or(unchanged))
-                    })
-                }
-                line = async {
-                    match &mut live {
-                        Some(watch) => watch.next().await,
-                        None => pending().await,
-                    }
-                } => {
-                    if line.is_err() {
-                        live = None;
-                    }
-                    line
-                }
+                came = calls.next() => came,
             };
+            let Some((era, heard)) = calls.heard(came) else { continue };
             let notice = match heard {
-                Ok(None) => continue,
-                Ok(Some(message)) => {
-                    if live.as_ref().is_some_and(|watch| watch.from == self.discovery) {
-                        self.index = message.index;
+                Ok(list) => {
+                    if era == calls.era {
+                        calls.index = list.index;
                     }
+                    calls.bridged();
                     self.there.send_replace(true);
-                    let hops = self.names.hops(&message.endpoints);
-                    let (index, entries, whole) = (message.index, hops.len(), message.snapshot);
+                    let hops = self.names.hops(&list.endpoints);
+                    let (index, entries, whole) = (list.index, hops.len(), list.snapshot);
                     debug!(target: TRANSPORT_MAP, index, entries, whole, "list or change");
-                    Notice::Listed { hops, whole: message.snapshot }
+                    Notice::Listed { hops, whole }
                 }
                 Err(broken) => {
                     self.counters.add(Counter::ListFailures);
                     warn!(target: TRANSPORT_MAP, "transport map: {broken}");
-                    if opening.is_some() {
-                        // The one that is being opened stands in for it.
+                    if !calls.failed(era) {
                         continue;
                     }
                     Notice::ListFailed
@@ -409,16 +549,4 @@
             }
         }
     }
-
-    fn open(&self) -> Opening {
-        let (from, index) = (self.discovery, self.index);
-        Box::pin(async move {
-            let open = async {
-                let mut watch = Watch::open(from, index).await?;
-                let first = watch.next().await?;
-                Ok((watch, first))
-            };
-            timeout(ANSWER, open).await.unwrap_or(Err(WatchError::Late))
-        })
-    }
 }
--- a/crates/node/tests/watch/mod.rs
+++ b/crates/node/tests/watch/mod.rs
@@ -127,10 +127,54 @@
     let first = discovery.request();
     first.say(HEAD);
     first.say(&chunk("\n"));
-    let end = discovery.next();
-    assert_eq!((end.message.start.as_str(), end.connection), ("", 0));
+    ended(&discovery, 0);
     // So does a call that is never answered.
-    assert_eq!(since(&discovery.request()), "41");
-    let end = std::iter::repeat_with(|| discovery.next()).find(|got| got.message.start.is_empty());
-    assert_eq!(end.expect("endless").connection, 1);
+    ended(&discovery, 1);
+}
+
+/// The end of that connection, whatever comes before it.
+fn ended(server: &Server, connection: usize) {
+    let end = |got: &Got| got.message.start.is_empty() && got.connection == connection;
+    std::iter::repeat_with(|| server.next()).find(end).expect("endless");
+}
+
+/// A watch whose call was held: its head, and a list.
+fn begin(got: &Got, list: &str) {
+    got.say(&format!("{HEAD}{}", chunk(&format!("{list}\n"))));
+}
+
+#[test]
+fn what_a_call_at_the_old_address_still_brings_counts() {
+    let (discovery, first, second) = (Server::start(), Server::start(), Server::start());
+    let known = [endpoint("s-1", first.address, "in_service"), endpoint("s-2", second.address, "in_service")];
+    let node = Node::start(&config(discovery.address, &known));
+    let before = discovery.request();
+    let moved = Server::start();
+    node.reload(&config(moved.address, &known));
+    assert_eq!(since(&moved.request()), "0");
+    // Told is told, by a call that was under way in the moment of the move too.
+    begin(&before, &list(42, false, &[endpoint("s-1", first.address, "terminating")]));
+    reaches(&node, CHANGES, 2);
+    all_go_to(&node, &second, "s-2", "r");
+    assert!(!first.has_more(), "it drains");
+    // It counts in its own way there: what was heard since is no version for the new address.
+    assert_eq!(since(&moved.request()), "0");
+}
+
+#[test]
+fn the_new_address_is_called_until_it_answers_while_the_old_watch_still_tells() {
+    let hop = Server::start();
+    let (node, old, _discovery) = Node::with(&[("s-1", &hop)]);
+    reaches(&node, CHANGES, 2);
+    let moved = Server::start();
+    node.reload(&config(moved.address, &[]));
+    // Each list of the old watch used to count as the answer that the module waits for.
+    for i in 1..6 {
+        moved.request().answer("503 Service Unavailable");
+        reaches(&node, FAILURES, i);
+        old.line(&list(42 + i, false, &[endpoint("s-1", hop.address, "in_service")]));
+        reaches(&node, CHANGES, 2 + i);
+    }
+    let watch = Watch::open(&moved);
+    assert_eq!(watch.since(), "0");
 }
