After a silence the next call for a watch is made at once, and one more beside it if it hangs

What a silent watch misses counts as told 6 s after it fell silent, and work must stop 0.75 s later: 6.75 s. Silence was seen after 3 s, the module then asked 0.3 to 0.5 s later at best, and a call that hung took 2.2 s: 5.7 s. The second call came only after the module's next wait (0.6 to 1 s and the turn, after failures up to eight times that), at 6.3 s at the earliest, and usually too late. The same after a move (4 s), and for a watch that falls silent before its first line. The wrong lines: each failure went to the module, whose backoff is meant for a service that refuses. Where discovery serves a call of each node within 1.2 s (17 nodes), the map now calls in this node's turn as soon as something falls silent, 1.2 s later once more beside the first, and keeps whichever begins; then the module is told. So two calls fit: 3 + 1.2 + 1.2 leave 1.35 s to the second. With more nodes a second call would only stand behind the first, in the same line, and cost another node its turn: there the module asks as before. Without it after_a_silence_a_call_that_hangs_gets_another_beside_it, after_a_move_a_call_that_hangs_gets_another_ beside_it and a_watch_that_falls_silent_before_its_first_line_gets_calls_beside_each_other fail.

--- a/crates/node/src/transport_map.rs
+++ b/crates/node/src/transport_map.rs
@@ -36,8 +36,13 @@
 const CONNECT: Duration = Duration::from_millis(700);
 /// Discovery serves a call in less than this.
 const CALL: Duration = Duration::from_millis(70);
-/// A call in turn is this far behind one that failed.
+/// A call that has not begun by then hangs, where discovery could have served all nodes. What a silent watch has
+/// to tell counts as told after 6 s, and work must stop 0.75 s later, 6.75 s in all. Silence is seen after 3 s; a
+/// call goes out in this node's turn, 1.2 s later at most; the next 1.2 s after it, at 5.4 s: it has 1.35 s,
+/// which is all that discovery needs for one call of each node.
 const LOST: Duration = Duration::from_millis(1200);
+/// So many calls fit into that time. Then the module is told, which calls ever more rarely.
+const UNASKED: u32 = 2;
 /// No list is longer than this; what goes on beyond it is nonsense.
 const LONGEST_LIST: usize = 1 << 20;
 
@@ -175,6 +180,13 @@
     TooLong,
 }
 
+impl WatchError {
+    /// Nothing came where something should have.
+    fn is_silence(&self) -> bool {
+        matches!(self, WatchError::Silent | WatchError::Late)
+    }
+}
+
 /// Finds the lists in what a watch brings, however it is cut into pieces and indented. Looks at each byte once.
 #[derive(Default)]
 struct Scan {
@@ -325,14 +337,27 @@
 
 /// When this node calls discovery of its own accord. Else it does so where the dispatch task asks for it.
 pub struct Pace {
-    /// By then discovery has served a call of each node before this one.
+    /// By then discovery has served a call of each node.
+    all: Duration,
+    /// By then, those before this node.
     turn: Duration,
 }
 
 impl Pace {
     pub fn new(settings: &Settings) -> Self {
         let (all, turn) = (CALL * settings.nodes, CALL * settings.rank);
-        Pace { turn: turn.min(all) }
+        Pace { all, turn: turn.min(all) }
+    }
+
+    /// How long after a call one more is made beside it, should it not have begun; none where it would but
+    /// stand behind the first, in the same line.
+    fn gap(&self) -> Option<Duration> {
+        (self.all <= LOST).then_some(LOST)
+    }
+
+    /// Calls that are made without being asked for once something has fallen silent.
+    fn unasked(&self) -> u32 {
+        if self.gap().is_some() { UNASKED } else { 0 }
     }
 }
 
@@ -362,6 +387,9 @@
     live: Option<Watch>,
     under_way: Vec<Call>,
     due: Option<Instant>,
+    /// Something has fallen silent and no watch has begun since; so many calls are still to be made unasked.
+    silent: bool,
+    left: u32,
 }
 
 impl Calls {
@@ -376,7 +404,8 @@
             timeout(ANSWER, open).await.unwrap_or(Err(WatchError::Late))
         });
         self.under_way.push(Call { era, opening });
-        self.due = None;
+        let again = self.pace.gap().filter(|_| self.left > 0);
+        self.due = again.map(|gap| Instant::now() + gap);
     }
 
     fn calls(&self) -> bool {
@@ -395,6 +424,8 @@
         self.era += 1;
         // Another discovery counts its changes in its own way: the whole list is wanted.
         self.index = 0;
+        // All must be told 4 s later: a call that hangs must leave time for others.
+        (self.silent, self.left) = (true, self.pace.unasked());
         self.call();
     }
 
@@ -433,6 +464,7 @@
     fn heard(&mut self, came: Came) -> Option<(u32, Result<ListMessage, WatchError>)> {
         match came {
             Came::Due => {
+                self.left = self.left.saturating_sub(1);
                 self.call();
                 None
             }
@@ -441,7 +473,7 @@
                 if now {
                     // It has all that the others could bring.
                     self.under_way.clear();
-                    self.due = None;
+                    (self.due, self.silent, self.left) = (None, false, 0);
                 }
                 if self.live.as_ref().is_none_or(|live| live.era <= era) {
                     self.live = Some(watch);
@@ -460,11 +492,22 @@
     }
 
     /// Sees to the next call after a failure. Whether the dispatch task is to be told, and then asks for it.
-    fn failed(&mut self, era: u32) -> bool {
+    fn failed(&mut self, era: u32, broken: &WatchError, waited: bool) -> bool {
+        let now = Instant::now();
         let stood = era == self.era || self.stands();
-        // What bridged the time up to a call in turn is gone: it is told, and better asked for soon.
-        if era != self.era && self.live.is_none() {
-            self.due = None;
+        if era != self.era {
+            // What bridged the time up to a call in turn is gone: it is told, and better asked for soon.
+            if self.live.is_none() && self.left == 0 {
+                self.due = None;
+            }
+        } else {
+            if broken.is_silence() && !self.silent {
+                (self.silent, self.left) = (true, self.pace.unasked());
+            }
+            if self.left > 0 && !self.calls() {
+                let turn = if waited { Duration::ZERO } else { self.pace.turn };
+                self.due.get_or_insert(now + turn);
+            }
         }
         self.bridged();
         stood && !self.stands()
@@ -502,6 +545,8 @@
             index: self.index,
             live: None,
             under_way: Vec::new(),
+            silent: false,
+            left: 0,
         };
         loop {
             let came = tokio::select! {
@@ -522,6 +567,7 @@
                 }
                 came = calls.next() => came,
             };
+            let waited = matches!(came, Came::Begun(..));
             let Some((era, heard)) = calls.heard(came) else { continue };
             let notice = match heard {
                 Ok(list) => {
@@ -538,7 +584,7 @@
                 Err(broken) => {
                     self.counters.add(Counter::ListFailures);
                     warn!(target: TRANSPORT_MAP, "transport map: {broken}");
-                    if !calls.failed(era) {
+                    if !calls.failed(era, &broken, waited) {
                         continue;
                     }
                     Notice::ListFailed
--- a/crates/node/tests/watch/mod.rs
+++ b/crates/node/tests/watch/mod.rs
@@ -138,11 +138,79 @@
     std::iter::repeat_with(|| server.next()).find(end).expect("endless");
 }
 
+/// The end of that connection; a request that comes before it fails the test.
+fn ends(server: &Server, connection: usize) {
+    let end = std::iter::repeat_with(|| server.next()).find(|got| got.connection == connection);
+    assert_eq!(end.expect("endless").message.start, "", "of connection {connection}");
+}
+
+/// A call beside one that hangs: it comes before that has ended.
+fn beside(server: &Server, hangs: &Got) -> Got {
+    let next = std::iter::repeat_with(|| server.next())
+        .find(|got| !got.message.start.is_empty() || got.connection == hangs.connection)
+        .expect("endless");
+    assert_ne!(next.connection, hangs.connection, "it had all the time for itself");
+    next
+}
+
 /// A watch whose call was held: its head, and a list.
 fn begin(got: &Got, list: &str) {
     got.say(&format!("{HEAD}{}", chunk(&format!("{list}\n"))));
 }
 
+#[test]
+fn after_a_silence_a_call_that_hangs_gets_another_beside_it() {
+    let hop = Server::start();
+    let (node, watch, discovery) = Node::with(&[("s-1", &hop)]);
+    watch.line("");
+    let hangs = discovery.request();
+    let next = beside(&discovery, &hangs);
+    assert_eq!((since(&hangs), since(&next)), ("42", "42"));
+    let other = Server::start();
+    let drains = [endpoint("s-1", hop.address, "terminating"), endpoint("s-2", other.address, "in_service")];
+    begin(&next, &list(43, false, &drains));
+    reaches(&node, CHANGES, 3);
+    ends(&discovery, hangs.connection);
+    all_go_to(&node, &other, "s-2", "r");
+    assert!(!hop.has_more(), "it drains");
+}
+
+#[test]
+fn a_watch_that_falls_silent_before_its_first_line_gets_calls_beside_each_other() {
+    let discovery = Server::start();
+    let node = Node::start(&config(discovery.address, &[]));
+    let first = discovery.request();
+    first.say(HEAD);
+    ends(&discovery, first.connection);
+    let hangs = discovery.request();
+    let next = beside(&discovery, &hangs);
+    begin(&next, &list(42, true, &[]));
+    ends(&discovery, hangs.connection);
+    reaches(&node, CHANGES, 2);
+    // Where neither begins, the module is told, and asks.
+    next.reset();
+    for _ in 0..4 {
+        assert_eq!(since(&discovery.request()), "42");
+    }
+}
+
+#[test]
+fn after_a_move_a_call_that_hangs_gets_another_beside_it() {
+    let hop = Server::start();
+    let (node, watch, old) = Node::with(&[("s-1", &hop)]);
+    watch.line("");
+    let moved = Server::start();
+    node.reload(&config(moved.address, &[]));
+    let hangs = moved.request();
+    let next = beside(&moved, &hangs);
+    assert_eq!((since(&hangs), since(&next)), ("0", "0"));
+    begin(&next, &list(7, true, &[endpoint("s-1", hop.address, "in_service")]));
+    ends(&moved, hangs.connection);
+    ended(&old, 0);
+    assert!(!old.has_more(), "nothing calls there any more");
+    all_go_to(&node, &hop, "s-1", "r");
+}
+
 #[test]
 fn what_a_call_at_the_old_address_still_brings_counts() {
     let (discovery, first, second) = (Server::start(), Server::start(), Server::start());
