Where lists are pushed, the transport map opens the watch itself, from the first moment on

With "discovery":"automatic" in the settings the module never asks for a list (ask_at is set only where list_on_request is), and on sockets a list comes only on a watch that somebody opens. So the node heard none at all and went on by the saved list: to workers that drain, and to none that came later. What the agent has counts as told from the first moment of a process, whether or not a watch is open. Where lists are pushed Calls now makes the first call at once, and after a failure the next 50 ms later, twice that with each up to 400 ms: what discovery has at its return must be heeded 750 ms later. A call that hangs gets another beside it after 400 ms, or after the time that discovery needs for a call of each node if that is more. Without it pushed_lists_are_watched_from_the_first_moment_and_again_at_once fails: no call ever comes. Not measured: many nodes of such a site that share one slow discovery.

--- a/crates/node/src/transport_map.rs
+++ b/crates/node/src/transport_map.rs
@@ -43,6 +43,11 @@
 const LOST: Duration = Duration::from_millis(1200);
 /// So many calls fit into that time. Then the module is told, which calls ever more rarely.
 const UNASKED: u32 = 2;
+/// Where lists are pushed, what discovery has at its return counts at once, and work must stop 0.75 s later: the
+/// next call follows a failed one after this, or twice that, up to 0.4 s.
+const RETRY: Duration = Duration::from_millis(50);
+const RETRY_DOUBLINGS: u32 = 3;
+const RETRY_MOST: Duration = Duration::from_millis(400);
 /// No list is longer than this; what goes on beyond it is nonsense.
 const LONGEST_LIST: usize = 1 << 20;
 
@@ -337,6 +342,8 @@
 
 /// When this node calls discovery of its own accord. Else it does so where the dispatch task asks for it.
 pub struct Pace {
+    /// Lists are pushed: nobody asks, and what discovery has counts as told.
+    pushed: bool,
     /// By then discovery has served a call of each node.
     all: Duration,
     /// By then, those before this node.
@@ -346,13 +353,14 @@
 impl Pace {
     pub fn new(settings: &Settings) -> Self {
         let (all, turn) = (CALL * settings.nodes, CALL * settings.rank);
-        Pace { all, turn: turn.min(all) }
+        Pace { pushed: !settings.list_on_request, all, turn: turn.min(all) }
     }
 
     /// How long after a call one more is made beside it, should it not have begun; none where it would but
     /// stand behind the first, in the same line.
     fn gap(&self) -> Option<Duration> {
-        (self.all <= LOST).then_some(LOST)
+        let gap = if self.pushed { self.all.max(RETRY_MOST) } else { LOST };
+        (self.all <= gap && gap < ANSWER).then_some(gap)
     }
 
     /// Calls that are made without being asked for once something has fallen silent.
@@ -390,6 +398,8 @@
     /// Something has fallen silent and no watch has begun since; so many calls are still to be made unasked.
     silent: bool,
     left: u32,
+    /// Failures since a watch lived on behind its first line.
+    failures: u32,
 }
 
 impl Calls {
@@ -404,7 +414,7 @@
             timeout(ANSWER, open).await.unwrap_or(Err(WatchError::Late))
         });
         self.under_way.push(Call { era, opening });
-        let again = self.pace.gap().filter(|_| self.left > 0);
+        let again = self.pace.gap().filter(|_| self.pace.pushed || self.left > 0);
         self.due = again.map(|gap| Instant::now() + gap);
     }
 
@@ -483,7 +493,10 @@
                 first.or(now.then_some(unchanged)).map(|list| (era, Ok(list)))
             }
             Came::Begun(era, Err(broken)) => Some((era, Err(broken))),
-            Came::Line(era, Ok(line)) => line.map(|list| (era, Ok(list))),
+            Came::Line(era, Ok(line)) => {
+                self.failures = 0;
+                line.map(|list| (era, Ok(list)))
+            }
             Came::Line(era, Err(broken)) => {
                 self.live = None;
                 Some((era, Err(broken)))
@@ -497,14 +510,18 @@
         let stood = era == self.era || self.stands();
         if era != self.era {
             // What bridged the time up to a call in turn is gone: it is told, and better asked for soon.
-            if self.live.is_none() && self.left == 0 {
+            if self.live.is_none() && self.left == 0 && !self.pace.pushed {
                 self.due = None;
             }
         } else {
             if broken.is_silence() && !self.silent {
                 (self.silent, self.left) = (true, self.pace.unasked());
             }
-            if self.left > 0 && !self.calls() {
+            if self.pace.pushed {
+                let after = RETRY * 2u32.pow(self.failures.min(RETRY_DOUBLINGS));
+                self.failures += 1;
+                self.due = Some(self.due.map_or(now + after, |due| due.min(now + after)));
+            } else if self.left > 0 && !self.calls() {
                 let turn = if waited { Duration::ZERO } else { self.pace.turn };
                 self.due.get_or_insert(now + turn);
             }
@@ -538,7 +555,8 @@
     /// `moved` tells of a new address of discovery.
     pub async fn run(mut self, mut asked: mpsc::Receiver<()>, mut moved: watch::Receiver<SocketAddr>) {
         let mut calls = Calls {
-            due: None,
+            // From the first moment of the process, where nobody asks.
+            due: self.pace.pushed.then(Instant::now),
             pace: self.pace,
             discovery: self.discovery,
             era: 0,
@@ -547,6 +565,7 @@
             under_way: Vec::new(),
             silent: false,
             left: 0,
+            failures: 0,
         };
         loop {
             let came = tokio::select! {
--- a/crates/node/tests/watch/mod.rs
+++ b/crates/node/tests/watch/mod.rs
@@ -158,6 +158,34 @@
     got.say(&format!("{HEAD}{}", chunk(&format!("{list}\n"))));
 }
 
+#[test]
+fn pushed_lists_are_watched_from_the_first_moment_and_again_at_once() {
+    let (discovery, first, second) = (Server::start(), Server::start(), Server::start());
+    let known = [endpoint("s-1", first.address, "in_service"), endpoint("s-2", second.address, "in_service")];
+    let pushed = config(discovery.address, &known).replace(r#""subscribe""#, r#""automatic""#);
+    let node = Node::start(&pushed);
+    let watch = Watch::open(&discovery);
+    assert_eq!(watch.since(), "41");
+    watch.line(&list(42, false, &[endpoint("s-1", first.address, "terminating")]));
+    reaches(&node, CHANGES, 2);
+    all_go_to(&node, &second, "s-2", "r");
+    assert!(!first.has_more(), "it drains");
+    // Its end, and more failures than it has patience for, are followed by a call each.
+    watch.end();
+    for i in 0..8 {
+        let got = discovery.request();
+        assert_eq!(since(&got), "42", "call {i}");
+        got.answer("503 Service Unavailable");
+    }
+    // So is a call that hangs; whichever begins is the watch, and the other ends.
+    let hangs = discovery.request();
+    let next = beside(&discovery, &hangs);
+    begin(&next, &list(43, true, &[endpoint("s-1", first.address, "in_service")]));
+    ends(&discovery, hangs.connection);
+    reaches(&node, CHANGES, 3);
+    all_go_to(&node, &first, "s-1", "q");
+}
+
 #[test]
 fn after_a_silence_a_call_that_hangs_gets_another_beside_it() {
     let hop = Server::start();
