A test that lists and the end of their watch in one read all count

Need: a change told in the same read as the list at a return, or in the same as the end of its watch, must not be lost with the watch. Looked for as a fault and not found. Change: one test, in which the node is held still and finds two changes and the end of the watch at once, then a whole list with a change and the end right behind it.

--- a/crates/node/tests/watch/mod.rs
+++ b/crates/node/tests/watch/mod.rs
@@ -274,3 +274,28 @@
     let watch = Watch::open(&moved);
     assert_eq!(watch.since(), "0");
 }
+
+#[test]
+fn lists_and_the_end_of_their_watch_in_one_read_all_count() {
+    let (first, second) = (Server::start(), Server::start());
+    let hops = [("s-1", &first), ("s-2", &second)];
+    let (node, watch, discovery) = Node::with(&hops);
+    let drains = |index, name, hop: &Server| {
+        chunk(&(list(index, false, &[endpoint(name, hop.address, "terminating")]) + "\n"))
+    };
+    reaches(&node, CHANGES, 2);
+    // Held still, the node finds all of it when it goes on.
+    node.signal("-STOP");
+    watch.say(&(drains(43, "s-2", &second) + &drains(44, "s-1", &first)));
+    watch.end();
+    node.signal("-CONT");
+    let again = discovery.request();
+    assert_eq!(since(&again), "44");
+    // So does the whole list at a return, with a change right behind it, and the end.
+    let all = list(45, true, &hops.map(|(name, hop)| endpoint(name, hop.address, "in_service"))) + "\n";
+    again.say(&format!("{HEAD}{}{}", chunk(&all), drains(46, "s-1", &first)));
+    again.reset();
+    assert_eq!(since(&discovery.request()), "46");
+    all_go_to(&node, &second, "s-2", "r");
+    assert!(!first.has_more(), "it drains");
+}
