Connections to next hops have a file of their own, which knows what was written

Whether a request may have arrived was taken from hyper: it hands the request back only while that still waits in its queue. One that it had taken, and whose first write then failed on a connection that the far end had closed meanwhile, was called in doubt though no byte of it went out (`send` in next_hop.rs): an unsafe job was lost for nothing.

The socket under each notes the first byte that is written of a request, and before that byte it reads once without waiting: a far end that has closed or said something unasked ends the connection with nothing written, whether or not the driver was told of it yet.

No test forces the moment itself: it lies between the system's notice and a poll within one turn of the node's only thread.

--- /dev/null
+++ b/crates/node/src/connection_pool.rs
@@ -0,0 +1,307 @@
+//! Owns the connections to next hops: dials them, keeps the idle ones, and knows of each whether a byte of
+//! its request was written. It must never write a request twice, never use a connection again on which
+//! something unasked may lie, and know nothing of jobs.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io::{self, ErrorKind, IoSlice, Read};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use curlewusher_settings::operator::NextHop as Tuning;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, timeout};
+use tracing::{debug, trace};
+
+use crate::counters::{Counter, Counters};
+use crate::logs::NEXT_HOP;
+use crate::places::Places;
+
+/// No body of a next hop's own answer is longer.
+const LONGEST_BODY: usize = 64 << 10;
+/// The rest of an answer is waited for so long, to keep its connection.
+const LATE_END: Duration = Duration::from_millis(2000);
+/// Idle connections are looked through this often.
+const SWEEP: Duration = Duration::from_millis(250);
+
+/// A connection to a next hop, which carries one request at a time.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+    traffic: Rc<Traffic>,
+    reused: bool,
+    idle_since: Instant,
+    _place: OwnedSemaphorePermit,
+}
+
+/// What has passed over a connection since its last request was handed to it.
+#[derive(Default)]
+struct Traffic {
+    /// A byte of the request was written.
+    written: Cell<bool>,
+}
+
+impl Traffic {
+    /// Whether a byte of the request was written.
+    fn written(&self) -> bool {
+        self.written.get()
+    }
+}
+
+/// Why a request brought no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Broken {
+    #[error("the connection closed before a byte of the request was written")]
+    Unsent,
+    #[error("the connection broke or ended before an answer")]
+    InDoubt,
+}
+
+/// Why a connection did not come up.
+#[derive(Debug, thiserror::Error)]
+#[error("a connection did not come up in time, or broke while it came up")]
+pub struct NotUp;
+
+impl Connection {
+    /// Whether it has carried a request before this one.
+    pub fn reused(&self) -> bool {
+        self.reused
+    }
+
+    /// Closes it, and returns once it is closed.
+    pub async fn close(mut self) {
+        self.driver.abort();
+        // A driver that was stopped ends as cancelled; either way its socket is gone.
+        let _ = (&mut self.driver).await;
+    }
+
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Broken> {
+        self.traffic.written.set(false);
+        self.sender.send_request(request).await.map_err(|e| {
+            trace!(target: NEXT_HOP, "no answer: {e}");
+            if !self.traffic.written() { Broken::Unsent } else { Broken::InDoubt }
+        })
+    }
+
+    fn usable(&self, now: Instant, idle_life: Duration) -> bool {
+        self.sender.is_ready() && now.duration_since(self.idle_since) < idle_life
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// The socket under a connection. Before the first byte of a request it looks whether the far end has closed
+/// or has said something unasked, which the driver may not have been told of yet.
+struct Socket {
+    stream: TcpStream,
+    traffic: Rc<Traffic>,
+}
+
+impl Socket {
+    fn look(&self) -> io::Result<()> {
+        if self.traffic.written.get() {
+            return Ok(());
+        }
+        // What is read here is lost, and so is the connection then.
+        match (&*SockRef::from(&self.stream)).read(&mut [0]) {
+            Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(()),
+            Err(e) => Err(e),
+            Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
+            Ok(_) => {
+                debug!(target: NEXT_HOP, to = ?self.stream.peer_addr().ok(), "said something unasked");
+                Err(ErrorKind::InvalidData.into())
+            }
+        }
+    }
+
+    fn wrote(&self, count: io::Result<usize>) -> io::Result<usize> {
+        if matches!(count, Ok(1..)) {
+            self.traffic.written.set(true);
+        }
+        count
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        into: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, into)
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.look()?;
+        let count = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes));
+        Poll::Ready(self.wrote(count))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.look()?;
+        let count = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, bytes));
+        Poll::Ready(self.wrote(count))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// The connections to all next hops.
+pub struct ConnectionPool {
+    counters: Counters,
+    /// In the order in which they were last used.
+    idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+    connect_timeout: Duration,
+    keepalive: Duration,
+    tuning: Rc<Cell<Tuning>>,
+    places: Places,
+}
+
+impl ConnectionPool {
+    pub fn new(
+        counters: Counters,
+        connect_timeout: Duration,
+        keepalive: Duration,
+        tuning: Rc<Cell<Tuning>>,
+        places: Places,
+    ) -> Self {
+        ConnectionPool { counters, idle: RefCell::default(), connect_timeout, keepalive, tuning, places }
+    }
+
+    /// A connection is used again only this soon after its last use. Next hops may close or reset one that
+    /// has been idle for far less than they say; what is written to it then is in doubt, which costs more
+    /// than any number of new connections. Half the time that the far end allows keeps well clear of its
+    /// closing.
+    fn idle_life(&self) -> Duration {
+        self.tuning.get().reuse_ms.millis().min(self.keepalive / 2)
+    }
+
+    /// Uses half of its places or all.
+    pub fn share(&self, half: bool) {
+        self.places.share(half, || drop(self.make_way()));
+    }
+
+    /// What is open to that next hop is of no use any more.
+    pub fn forget(&self, to: SocketAddr) {
+        self.idle.borrow_mut().remove(&to);
+    }
+
+    /// Drops connections that have been idle for long: the far end closes them, and a request written to one
+    /// in that moment would be lost.
+    pub async fn sweep(&self) {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            let (now, idle_life) = (Instant::now(), self.idle_life());
+            self.idle.borrow_mut().retain(|_, idle| {
+                idle.retain(|connection| connection.usable(now, idle_life));
+                !idle.is_empty()
+            });
+        }
+    }
+
+    /// A connection for one request: an idle one, or else a new one.
+    pub async fn obtain(&self, to: SocketAddr) -> Result<Connection, NotUp> {
+        if let Some(connection) = self.take_idle(to) {
+            return Ok(connection);
+        }
+        self.dial(to).await
+    }
+
+    /// The connection that was used last, so that the others grow old and go.
+    fn take_idle(&self, to: SocketAddr) -> Option<Connection> {
+        let mut hops = self.idle.borrow_mut();
+        let idle = hops.get_mut(&to)?;
+        let (now, idle_life) = (Instant::now(), self.idle_life());
+        idle.retain(|connection| connection.usable(now, idle_life));
+        idle.pop()
+    }
+
+    /// A new connection.
+    async fn dial(&self, to: SocketAddr) -> Result<Connection, NotUp> {
+        self.counters.add(Counter::Connects);
+        trace!(target: NEXT_HOP, %to, "connects");
+        let dialled = timeout(self.connect_timeout, self.dialled(to)).await;
+        let dialled = dialled.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
+        dialled.map_err(|e| {
+            self.counters.add(Counter::ConnectsFailed);
+            debug!(target: NEXT_HOP, %to, "connection did not come up: {e}");
+            NotUp
+        })
+    }
+
+    async fn dialled(&self, to: SocketAddr) -> io::Result<Connection> {
+        let place = self.place().await.ok_or(ErrorKind::Other)?;
+        let stream = TcpStream::connect(to).await?;
+        stream.set_nodelay(true)?;
+        let traffic = Rc::<Traffic>::default();
+        let socket = Socket { stream, traffic: traffic.clone() };
+        let (sender, connection) = http1::handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
+        // How a connection ends shows in the request that was on it.
+        let driver = tokio::task::spawn_local(async { _ = connection.await });
+        let idle_since = Instant::now();
+        Ok(Connection { sender, driver, traffic, reused: false, idle_since, _place: place })
+    }
+
+    /// A place for one more connection. Where all are used, an idle one makes way.
+    async fn place(&self) -> Option<OwnedSemaphorePermit> {
+        if self.places.free() == 0 {
+            drop(self.make_way());
+        }
+        self.places.take().await
+    }
+
+    /// An idle connection, taken out so that its place comes free.
+    fn make_way(&self) -> Option<Connection> {
+        let mut hops = self.idle.borrow_mut();
+        let idle = hops.values_mut().find(|idle| !idle.is_empty())?;
+        Some(idle.remove(0))
+    }
+
+    /// Reads an answer to its end and keeps the connection for the next request.
+    pub async fn keep(&self, to: SocketAddr, mut connection: Connection, response: Response<Incoming>) {
+        let body = Limited::new(response.into_body(), LONGEST_BODY).collect();
+        if !matches!(timeout(LATE_END, body).await, Ok(Ok(_))) {
+            return;
+        }
+        // An answer can say that the connection ends with it.
+        if !matches!(timeout(LATE_END, connection.sender.ready()).await, Ok(Ok(()))) {
+            return;
+        }
+        connection.reused = true;
+        connection.idle_since = Instant::now();
+        self.idle.borrow_mut().entry(to).or_default().push(connection);
+    }
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,6 +4,7 @@
 
 mod check;
 mod config;
+mod connection_pool;
 mod console;
 mod counters;
 mod dispatch;
