What is no answer withdraws its job, and spoilt answers are counted

An answer that could not be read (no status line, a head without measure) or that no core worker gives (101, 200, 204, 302) ended the attempt at once: lost or failed, and a safe job went out again while the first worker, whose 202 may have been spoilt on its way, still ran it. What came spoilt was neither counted nor logged.

Both now withdraw the job by name before the attempt is reported. A connection that ends before an answer stays a reset, as the protocol's table has it. curlewusher_next_hop_answers_spoilt counts answers that cannot be read, end in the middle, never end, or belong to no request; each has a line at debug level.

Seen to fail without the withdrawal: what_is_no_answer_ends_an_unsafe_job_after_one_attempt and a_safe_job_goes_on_after_what_is_no_answer_only_once_it_is_withdrawn. The others hold what was right before, but for the counter: 100 and 103 before the 202, half an answer and an end, a 202 whose body never ends (closed within 2 s, its place with it), a second answer right behind the first.

--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -4,6 +4,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::error::Error;
 use std::io::{self, ErrorKind, IoSlice, Read};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -52,6 +53,8 @@
 pub struct Traffic {
     /// A byte of the request was written.
     written: Cell<bool>,
+    /// A byte was read after that.
+    read: Cell<bool>,
 }
 
 impl Traffic {
@@ -59,6 +62,11 @@
     pub fn written(&self) -> bool {
         self.written.get()
     }
+
+    /// Whether a byte of an answer was read.
+    pub fn read(&self) -> bool {
+        self.read.get()
+    }
 }
 
 /// Why a request brought no answer.
@@ -68,6 +76,8 @@
     Unsent,
     #[error("the connection broke or ended before an answer")]
     InDoubt,
+    #[error("what came is no answer")]
+    Spoilt,
 }
 
 /// Why a connection did not come up.
@@ -98,9 +108,16 @@
 
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Broken> {
         self.traffic.written.set(false);
+        self.traffic.read.set(false);
         self.sender.send_request(request).await.map_err(|e| {
             trace!(target: NEXT_HOP, "no answer: {e}");
-            if !self.traffic.written() { Broken::Unsent } else { Broken::InDoubt }
+            if !self.traffic.written() {
+                Broken::Unsent
+            } else if e.is_parse() {
+                Broken::Spoilt
+            } else {
+                Broken::InDoubt
+            }
         })
     }
 
@@ -120,6 +137,7 @@
 struct Socket {
     stream: TcpStream,
     traffic: Rc<Traffic>,
+    counters: Counters,
 }
 
 impl Socket {
@@ -133,6 +151,7 @@
             Err(e) => Err(e),
             Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
             Ok(_) => {
+                self.counters.add(Counter::SpoiltAnswers);
                 debug!(target: NEXT_HOP, to = ?self.stream.peer_addr().ok(), "said something unasked");
                 Err(ErrorKind::InvalidData.into())
             }
@@ -153,7 +172,12 @@
         cx: &mut Context<'_>,
         into: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, into)
+        let before = into.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, into))?;
+        if into.filled().len() > before {
+            self.traffic.read.set(true);
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -278,10 +302,19 @@
         let stream = TcpStream::connect(to).await?;
         stream.set_nodelay(true)?;
         let traffic = Rc::<Traffic>::default();
-        let socket = Socket { stream, traffic: traffic.clone() };
+        let socket = Socket { stream, traffic: traffic.clone(), counters: self.counters.clone() };
         let (sender, connection) = http1::handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
-        // How a connection ends shows in the request that was on it.
-        let driver = tokio::task::spawn_local(async { _ = connection.await });
+        let counters = self.counters.clone();
+        let driver = tokio::task::spawn_local(async move {
+            // How a connection ends shows in the request that was on it. On an idle one, what is no end of it
+            // is an answer that nobody asked for.
+            if let Err(e) = connection.await
+                && !e.source().is_some_and(|source| source.is::<io::Error>())
+            {
+                counters.add(Counter::SpoiltAnswers);
+                debug!(target: NEXT_HOP, %to, "closed: {e}");
+            }
+        });
         let idle_since = Instant::now();
         Ok(Connection { sender, driver, traffic, reused: false, idle_since, _place: place })
     }
@@ -304,8 +337,14 @@
     /// Reads an answer to its end and keeps the connection for the next request.
     pub async fn keep(&self, to: SocketAddr, mut connection: Connection, response: Response<Incoming>) {
         let body = Limited::new(response.into_body(), LONGEST_BODY).collect();
-        if !matches!(timeout(LATE_END, body).await, Ok(Ok(_))) {
-            return;
+        let why = match timeout(LATE_END, body).await {
+            Ok(Ok(_)) => None,
+            Ok(Err(e)) => Some(e.to_string()),
+            Err(_) => Some("it does not end".to_owned()),
+        };
+        if let Some(why) = why {
+            self.spoilt(to, &why);
+            return connection.close().await;
         }
         // An answer can say that the connection ends with it.
         if !matches!(timeout(LATE_END, connection.sender.ready()).await, Ok(Ok(()))) {
@@ -315,4 +354,10 @@
         connection.idle_since = Instant::now();
         self.idle.borrow_mut().entry(to).or_default().push(connection);
     }
+
+    /// Counts an answer that was none, or not whole.
+    pub fn spoilt(&self, to: SocketAddr, why: &str) {
+        self.counters.add(Counter::SpoiltAnswers);
+        debug!(target: NEXT_HOP, %to, "spoilt answer: {why}");
+    }
 }
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -55,6 +55,7 @@
     CallbacksIdle, "curlewusher_callbacks_without_effect", "Call-backs that were repeats or came too late";
     Connects, "curlewusher_next_hop_connections", "Connections opened to next hops";
     ConnectsFailed, "curlewusher_next_hop_connections_failed", "Connections to next hops that did not come up";
+    SpoiltAnswers, "curlewusher_next_hop_answers_spoilt", "Answers of next hops that were broken, without end, or to no request";
     ListChanges, "curlewusher_transport_map_changes", "Lists and changes read from discovery";
     ListFailures, "curlewusher_transport_map_failures", "Watches of discovery that broke or failed";
     Reloads, "curlewusher_reloads", "Configurations read again on SIGHUP";
--- a/crates/node/src/next_hop.rs
+++ b/crates/node/src/next_hop.rs
@@ -196,7 +196,17 @@
             Exchange::Answered(StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, true) => {
                 Outcome::Full
             }
-            Exchange::Answered(..) => Outcome::Error,
+            Exchange::Answered(status, _) => {
+                // What no core worker says of a job: it may have it for all that.
+                if !status.is_client_error() && !status.is_server_error() {
+                    self.call_off(to, &id, until, false).await;
+                }
+                Outcome::Error
+            }
+            Exchange::Spoilt => {
+                self.call_off(to, &id, until, true).await;
+                Outcome::Lost
+            }
             // What else is open to a next hop that died or fell silent would only cost the next attempt its
             // time.
             Exchange::Refused | Exchange::Unreachable => {
@@ -319,11 +329,15 @@
                 Some(Ok(Err(broken))) => broken,
             };
             connection.close().await;
+            if matches!(broken, Broken::Spoilt) || matches!(broken, Broken::InDoubt) && traffic.read() {
+                self.0.pool.spoilt(to, &broken.to_string());
+            }
             match broken {
                 Broken::Unsent if *crossed => return Exchange::GivenUp { written: false },
                 Broken::Unsent if fresh => return Exchange::Unreachable,
                 Broken::Unsent => {}
                 Broken::InDoubt => return Exchange::InDoubt,
+                Broken::Spoilt => return Exchange::Spoilt,
             }
         }
     }
@@ -336,6 +350,8 @@
     Refused,
     Unreachable,
     InDoubt,
+    /// What came is no answer, and the connection was closed for it.
+    Spoilt,
     /// No answer in time; `fresh`: on a connection that was dialled for it.
     Silent {
         fresh: bool,
--- a/crates/node/tests/links/mod.rs
+++ b/crates/node/tests/links/mod.rs
@@ -131,6 +131,81 @@
     first.reset();
 }
 
+#[test]
+fn a_second_answer_right_behind_the_first_closes_the_connection() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let (client, first) = sent(&node, &hop, "r1", "order", 8.0);
+    let accepted = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+    first.say(&format!("{accepted}HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n\r\n"));
+    node.tell("r1", "s-1", DONE);
+    assert_eq!(answer(client).status(), 200);
+    let (client, got) = sent(&node, &hop, "r2", "order", 8.0);
+    assert_ne!(got.connection, first.connection);
+    serve(&node, client, &got, "s-1", "r2");
+    assert_eq!((node.count(ATTEMPTS), node.count(SPOILT)), (2, 1));
+}
+
+#[test]
+fn what_is_no_answer_ends_an_unsafe_job_after_one_attempt() {
+    let long = format!("HTTP/1.1 202 Accepted\r\nX-Long: {}", "a".repeat(1 << 20));
+    let spoilt =
+        ["nonsense\r\n\r\n", "HTTP/7.3 202 Accepted\r\n\r\n", "HTTP/1.1 2x2 Accepted\r\n\r\n", &long];
+    // It may have run, and may yet: it is withdrawn by name. Only the last of these leaves the connection
+    // whole.
+    let strange = ["101 Switching Protocols", "200 OK", "204 No Content", "302 Found"]
+        .map(|status| format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n"));
+    for (bytes, count) in spoilt.into_iter().map(|s| (s, 1)).chain(strange.iter().map(|s| (s.as_str(), 0))) {
+        let hop = Server::start();
+        let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+        let (client, got) = sent(&node, &hop, "r1", "order", 8.0);
+        // A long one may be cut off before its end.
+        got.try_say(bytes);
+        withdrawal(&hop, "r1").answer("200 OK");
+        let start = &bytes[..bytes.len().min(40)];
+        assert_eq!(answer(client).status(), 502, "{start}");
+        assert_eq!((node.count(ATTEMPTS), node.count(SPOILT)), (1, count), "{start}");
+        // The node serves on.
+        let (client, got) = sent(&node, &hop, "r2", "order", 8.0);
+        serve(&node, client, &got, "s-1", "r2");
+    }
+}
+
+#[test]
+fn a_safe_job_goes_on_after_what_is_no_answer_only_once_it_is_withdrawn() {
+    for bytes in ["nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"] {
+        let (one, two) = (Server::start(), Server::start());
+        let (node, _watch, _discovery) = Node::with(&[("s-1", &one), ("s-2", &two)]);
+        let client = write(node.address, &job("r1", "view", 8.0, ""));
+        let (hop, got, other) = went(&one, &two);
+        got.say(bytes);
+        for _ in 0..2 {
+            let call = withdrawal(hop, "r1");
+            assert!(!other.has_more(), "a second copy beside one that may still run");
+            call.reset();
+        }
+        withdrawal(hop, "r1").answer("200 OK");
+        let got = other.request();
+        assert_eq!(got.message.start, POST);
+        serve(&node, client, &got, if std::ptr::eq(other, &one) { "s-1" } else { "s-2" }, "r1");
+    }
+}
+
+#[test]
+fn half_an_answer_and_then_an_end_is_a_reset() {
+    for bytes in ["HTTP/1.1 20", "HTTP/1.1 202 Accepted\r\nContent-Le", ""] {
+        let hop = Server::start();
+        let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+        let (client, got) = sent(&node, &hop, "r1", "order", 8.0);
+        got.say(bytes);
+        got.reset();
+        assert_eq!(answer(client).status(), 502, "{bytes}");
+        let counts = [r#"curlewusher_delivery_attempts_ended_total{outcome="lost"}"#, ATTEMPTS, SPOILT];
+        assert_eq!(counts.map(|c| node.count(c)), [1, 1, u64::from(!bytes.is_empty())], "{bytes}");
+        assert!(!hop.has_more());
+    }
+}
+
 #[test]
 fn a_head_that_never_ends_is_given_up_by_the_jobs_deadline() {
     let hop = Server::start();
@@ -140,3 +215,40 @@
     assert_eq!(answer(client).status(), 502);
     withdrawal(&hop, "r1").answer("200 OK");
 }
+
+#[test]
+fn a_202_counts_after_others_of_the_100s() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let (client, got) = sent(&node, &hop, "r1", "order", 8.0);
+    got.say("HTTP/1.1 100 Continue\r\n\r\n");
+    got.say("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n");
+    serve(&node, client, &got, "s-1", "r1");
+    assert_eq!((node.count("curlewusher_delivery_attempts_accepted_total"), node.count(SPOILT)), (1, 0));
+}
+
+#[test]
+fn a_202_whose_body_never_ends_is_taken_and_its_connection_closed() {
+    let chunk = format!("Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n", 40_000, "a".repeat(40_000));
+    let long = format!("{chunk}{:x}\r\n{}\r\n", 40_000, "a".repeat(40_000));
+    let bodies = [
+        "Content-Length: 9\r\n\r\nhalf",
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        "Transfer-Encoding: chunked\r\n\r\nnonsense\r\n",
+        &long,
+    ];
+    for body in bodies {
+        let hop = Server::start();
+        let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+        let (client, got) = sent(&node, &hop, "r1", "order", 8.0);
+        got.say(&format!("HTTP/1.1 202 Accepted\r\n{body}"));
+        until_count(&node, "curlewusher_delivery_attempts_accepted_total", 1);
+        node.tell("r1", "s-1", DONE);
+        assert_eq!(answer(client).status(), 200);
+        // It is ended, and with it the place that it held.
+        let end = hop.next();
+        assert_eq!((end.message.start.as_str(), end.connection), ("", got.connection));
+        until_count(&node, SPOILT, 1);
+        assert_eq!(node.count(ATTEMPTS), 1);
+    }
+}
