A connection to a process that is gone is not kept after its answer

`forget` dropped the idle connections to a next hop, but not those whose answer was still being read: `keep` put them back among the idle ones afterwards, and the next job went to the process before the restart, or into a silent machine, where it was in doubt.

Each next hop's idle connections belong to an era, which ends when it is forgotten; a connection is kept only in the era in which it was dialled.

Seen to fail without it: a_connection_to_a_process_that_is_gone_is_not_kept, in which the next hop is listed as started anew while the body of its 202 is on its way.

--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -47,6 +47,8 @@
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     traffic: Rc<Traffic>,
+    /// It was dialled in this era of its next hop.
+    era: Rc<()>,
     reused: bool,
     idle_since: Instant,
     _place: OwnedSemaphorePermit,
@@ -218,14 +220,22 @@
 /// The connections to all next hops.
 pub struct ConnectionPool {
     counters: Counters,
-    /// In the order in which they were last used.
-    idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
+    hops: RefCell<HashMap<SocketAddr, Idle>>,
     connect_timeout: Duration,
     keepalive: Duration,
     tuning: Rc<Cell<Tuning>>,
     places: Places,
 }
 
+/// The idle connections to a next hop, and the era in which they were dialled: one that was dialled before
+/// its next hop was forgotten is not kept afterwards.
+#[derive(Default)]
+struct Idle {
+    era: Rc<()>,
+    /// In the order in which they were last used.
+    connections: Vec<Connection>,
+}
+
 impl ConnectionPool {
     pub fn new(
         counters: Counters,
@@ -234,7 +244,7 @@
         tuning: Rc<Cell<Tuning>>,
         places: Places,
     ) -> Self {
-        ConnectionPool { counters, idle: RefCell::default(), connect_timeout, keepalive, tuning, places }
+        ConnectionPool { counters, hops: RefCell::default(), connect_timeout, keepalive, tuning, places }
     }
 
     /// A connection is used again only this soon after its last use. Next hops may close or reset one that
@@ -252,7 +262,7 @@
 
     /// What is open to that next hop is of no use any more.
     pub fn forget(&self, to: SocketAddr) {
-        self.idle.borrow_mut().remove(&to);
+        self.hops.borrow_mut().remove(&to);
     }
 
     /// Drops connections that have been idle for long: the far end closes them, and a request written to one
@@ -261,9 +271,10 @@
         loop {
             tokio::time::sleep(SWEEP).await;
             let (now, idle_life) = (Instant::now(), self.idle_life());
-            self.idle.borrow_mut().retain(|_, idle| {
-                idle.retain(|connection| connection.usable(now, idle_life));
-                !idle.is_empty()
+            self.hops.borrow_mut().retain(|_, idle| {
+                idle.connections.retain(|connection| connection.usable(now, idle_life));
+                // Its era goes on while a connection of it is in use.
+                !idle.connections.is_empty() || Rc::strong_count(&idle.era) > 1
             });
         }
     }
@@ -283,8 +294,8 @@
     /// The connection that was used last of those that have rested, so that the others grow old and go; where
     /// none has, the one that will have first.
     fn take_idle(&self, to: SocketAddr) -> Option<Connection> {
-        let mut hops = self.idle.borrow_mut();
-        let idle = hops.get_mut(&to)?;
+        let mut hops = self.hops.borrow_mut();
+        let idle = &mut hops.get_mut(&to)?.connections;
         let (now, idle_life) = (Instant::now(), self.idle_life());
         // Where the operator wants none used for so long, none is.
         idle.retain(|connection| idle_life > REST && connection.usable(now, idle_life));
@@ -297,7 +308,8 @@
     async fn dial(&self, to: SocketAddr) -> Result<Connection, NotUp> {
         self.counters.add(Counter::Connects);
         trace!(target: NEXT_HOP, %to, "connects");
-        let dialled = timeout(self.connect_timeout, self.dialled(to)).await;
+        let era = self.hops.borrow_mut().entry(to).or_default().era.clone();
+        let dialled = timeout(self.connect_timeout, self.dialled(to, era)).await;
         let dialled = dialled.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
         dialled.map_err(|e| {
             self.counters.add(Counter::ConnectsFailed);
@@ -309,7 +321,7 @@
         })
     }
 
-    async fn dialled(&self, to: SocketAddr) -> io::Result<Connection> {
+    async fn dialled(&self, to: SocketAddr, era: Rc<()>) -> io::Result<Connection> {
         let place = self.place().await.ok_or(ErrorKind::Other)?;
         let stream = TcpStream::connect(to).await?;
         stream.set_nodelay(true)?;
@@ -328,7 +340,7 @@
             }
         });
         let idle_since = Instant::now();
-        Ok(Connection { sender, driver, traffic, reused: false, idle_since, _place: place })
+        Ok(Connection { sender, driver, traffic, era, reused: false, idle_since, _place: place })
     }
 
     /// A place for one more connection. Where all are used, an idle one makes way.
@@ -341,9 +353,9 @@
 
     /// An idle connection, taken out so that its place comes free.
     fn make_way(&self) -> Option<Connection> {
-        let mut hops = self.idle.borrow_mut();
-        let idle = hops.values_mut().find(|idle| !idle.is_empty())?;
-        Some(idle.remove(0))
+        let mut hops = self.hops.borrow_mut();
+        let idle = hops.values_mut().find(|idle| !idle.connections.is_empty())?;
+        Some(idle.connections.remove(0))
     }
 
     /// Reads an answer to its end and keeps the connection for the next request.
@@ -362,9 +374,12 @@
         if !matches!(timeout(LATE_END, connection.sender.ready()).await, Ok(Ok(()))) {
             return;
         }
-        connection.reused = true;
-        connection.idle_since = Instant::now();
-        self.idle.borrow_mut().entry(to).or_default().push(connection);
+        let mut hops = self.hops.borrow_mut();
+        if let Some(idle) = hops.get_mut(&to).filter(|idle| Rc::ptr_eq(&idle.era, &connection.era)) {
+            connection.reused = true;
+            connection.idle_since = Instant::now();
+            idle.connections.push(connection);
+        }
     }
 
     /// Counts an answer that was none, or not whole.
--- a/crates/node/tests/links/mod.rs
+++ b/crates/node/tests/links/mod.rs
@@ -281,3 +281,29 @@
         assert_eq!(node.count(ATTEMPTS), 1);
     }
 }
+
+#[test]
+fn a_connection_to_a_process_that_is_gone_is_not_kept() {
+    let hop = Server::start();
+    let discovery = Server::start();
+    let known = [endpoint("s-1", hop.address, "in_service")];
+    // Idle connections are of use for longer than this test may take.
+    let node = Node::start_with(&config(discovery.address, &known), "[next_hop]\nreuse_ms = 600000\n");
+    let watch = Watch::open(&discovery);
+    watch.line(&list(42, true, &known));
+    let (client, got) = sent(&node, &hop, "r1", "order", 8.0);
+    // While its answer is still being read, the next hop is started anew.
+    got.say("HTTP/1.1 202 Accepted\r\nContent-Length: 4\r\n\r\n");
+    until_count(&node, "curlewusher_delivery_attempts_accepted_total", 1);
+    node.tell("r1", "s-1", DONE);
+    assert_eq!(answer(client).status(), 200);
+    let before = node.count("curlewusher_transport_map_changes_total");
+    watch.line(&list(43, false, &[known[0].replace(r#""since_ms":0"#, r#""since_ms":1700000000000"#)]));
+    until_count(&node, "curlewusher_transport_map_changes_total", before + 1);
+    let (client, second) = sent(&node, &hop, "r2", "order", 8.0);
+    assert_ne!(second.connection, got.connection);
+    serve(&node, client, &second, "s-1", "r2");
+    got.say("late");
+    let end = hop.next();
+    assert_eq!((end.message.start.as_str(), end.connection), ("", got.connection));
+}
