A withdrawal that was given up does not go to the next process

`call_off` ends a withdrawal that is not heard by the end of the job's time, but its entry stayed in `unheard`: only a withdrawal that was heard took itself out. The list grew for the life of the process, and at an upgrade the successor made each of them again, without end where the worker is gone.

The entry is now held by the withdrawal itself and goes with it, however it ends.

Seen to fail without it: a_withdrawal_that_was_given_up_does_not_go_to_the_next_process; the newer process called the worker four times in two seconds for a job whose time was up.

--- a/crates/node/src/next_hop.rs
+++ b/crates/node/src/next_hop.rs
@@ -248,8 +248,7 @@
             Request::delete(format!("/jobs/{id}")).header(HOST, to.to_string()).body(Full::new(Bytes::new()))
         };
         let mut pause = WITHDRAWN_AGAIN;
-        let this = (to, id.to_owned());
-        self.0.unheard.borrow_mut().push(this.clone());
+        let _unheard = Unheard::new(&self.0.unheard, to, id);
         loop {
             let longest = self.0.tuning.get().withdrawal_ms.millis();
             let heard = match self.exchange(to, request, &mut None, &mut false, longest).await {
@@ -259,10 +258,6 @@
                 _ => false,
             };
             if heard {
-                let mut unheard = self.0.unheard.borrow_mut();
-                if let Some(at) = unheard.iter().position(|u| *u == this) {
-                    unheard.swap_remove(at);
-                }
                 return;
             }
             self.0.counters.add(Counter::WithdrawalsUnheard);
@@ -362,6 +357,29 @@
     },
 }
 
+/// Lists a withdrawal for as long as it is being made: one that was given up goes to no other process.
+struct Unheard<'a> {
+    list: &'a RefCell<Vec<(SocketAddr, String)>>,
+    this: (SocketAddr, String),
+}
+
+impl<'a> Unheard<'a> {
+    fn new(list: &'a RefCell<Vec<(SocketAddr, String)>>, to: SocketAddr, id: &str) -> Self {
+        let this = (to, id.to_owned());
+        list.borrow_mut().push(this.clone());
+        Unheard { list, this }
+    }
+}
+
+impl Drop for Unheard<'_> {
+    fn drop(&mut self) {
+        let mut list = self.list.borrow_mut();
+        if let Some(at) = list.iter().position(|other| *other == self.this) {
+            list.swap_remove(at);
+        }
+    }
+}
+
 /// Counts what is under way.
 struct Busy<'a>(&'a Cell<usize>);
 
--- a/crates/node/tests/links/mod.rs
+++ b/crates/node/tests/links/mod.rs
@@ -307,3 +307,36 @@
     let end = hop.next();
     assert_eq!((end.message.start.as_str(), end.connection), ("", got.connection));
 }
+
+#[test]
+fn a_withdrawal_that_was_given_up_does_not_go_to_the_next_process() {
+    let (hop, first, second) = (Server::start(), Server::start(), Server::start());
+    let known = [endpoint("s-1", hop.address, "in_service")];
+    let older = Node::start(&operated(first.address, &known));
+    let _operators = older.operators();
+    let watch = Watch::open(&first);
+    watch.line(&list(42, true, &known));
+    let (client, got) = sent(&older, &hop, "r1", "order", 0.5);
+    got.answer("202 Accepted");
+    // The next hop never answers, and the job's time is up.
+    let _call = withdrawal(&hop, "r1");
+    assert_eq!(answer(client).status(), 502);
+    until_count(&older, r#"curlewusher_delivery_attempts_ended_total{outcome="cancelled"}"#, 1);
+    // Whatever the older one wrote has come by the time that the newer one serves.
+    let newer = Node::heard(older.spawn_beside(second.address));
+    let operators = newer.operators();
+    let watch = Watch::open(&second);
+    watch.line(&list(42, true, &known));
+    older.says_of("n0: retired");
+    let begun = Instant::now();
+    while call(operators, "READY\n") != "+OK" {
+        assert!(begun.elapsed() < LONG, "the newer one does not serve");
+    }
+    while hop.waiting().is_some() {}
+    older.signal("-TERM");
+    assert_eq!(older.end().status.code(), Some(0));
+    for id in ["r2", "r3", "r4", "r5", "r6"] {
+        let (client, got) = sent(&newer, &hop, id, "order", 8.0);
+        serve(&newer, client, &got, "s-1", id);
+    }
+}
