Connections and call-backs leave sender_side.rs for files of their own

sender_side.rs had over 1,100 lines and several concerns: what is read on a connection and its limits, the reading of call-backs, and the jobs.

connection.rs now has Connection, ConnectionState, ReadFilter and FilteredStream (before: Caller, Stage, Inlet, Door); callback.rs has Callback with an error type of its own instead of texts. No change of behaviour.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -2,9 +2,11 @@
 
 #![forbid(unsafe_code)]
 
+mod callback;
 mod check;
 mod config;
 mod connection_pool;
+mod connection;
 mod console;
 mod counters;
 mod dispatch;
--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -5,12 +5,12 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
 use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll, Waker, ready};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -26,8 +26,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use serde::{Deserialize, Serialize};
-use serde_json::value::RawValue;
-use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::OwnedPermit;
 use tokio::sync::{Notify, oneshot, watch};
@@ -35,8 +34,10 @@
 use tokio::time::{Instant, sleep, timeout};
 use tracing::{debug, warn};
 
+use crate::callback::Callback;
+use crate::connection::{Connection, ConnectionState, FilteredStream, LONGEST_HEAD, READ_TIME, ReadFilter};
 use crate::counters::{Counter, Counters};
-use crate::dispatch::{Adopted, Answer, Clock, Holder, Moved, Notice, Queue, Taken, Ticket, Word};
+use crate::dispatch::{Adopted, Answer, Clock, Holder, Moved, Notice, Queue, Taken, Ticket};
 use crate::handover::{Heard, Peer};
 use crate::lifecycle::Lifecycle;
 use crate::logs::SENDER_SIDE;
@@ -53,11 +54,6 @@
 const LONGEST_PATH: usize = 2048;
 /// No client waits for longer, s.
 const LONGEST_WAIT: f64 = 86_400.0;
-/// No head is longer; hyper buffers no more than this either.
-const LONGEST_HEAD: usize = 16 << 10;
-/// A request that has begun, or a connection on which nothing comes, has this long. Good clients take up to 2 s to write
-/// one; what cannot be read is owed an answer or a close within 3 s of its connection.
-const READ_TIME: Duration = Duration::from_millis(2700);
 /// A body comes so long before the end of that time, which leaves time to say so.
 const SAYING_SO: Duration = Duration::from_millis(150);
 /// How often connections are looked through for those that have used up their time.
@@ -69,10 +65,6 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// So many places are kept free for the next ones.
 const SPARE: usize = 4;
-/// A connection makes way for others no sooner than this after it came, was last answered, or began a request.
-const YOUNG: Duration = Duration::from_millis(50);
-const SETTLED: Duration = Duration::from_millis(200);
-const SLOW: Duration = Duration::from_millis(800);
 /// A job that could not move to the other process is tried again after this.
 const MOVE_AGAIN: Duration = Duration::from_millis(20);
 /// Answers must be written and connections closed within this at the end.
@@ -80,248 +72,6 @@
 
 type Reply = Response<Full<Bytes>>;
 
-/// Where a connection stands, in the order in which those make way for others when descriptors run low.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Stage {
-    /// Nothing has come on it.
-    New,
-    /// A request has begun and is not read to its end.
-    Reading,
-    /// Between requests.
-    Idle,
-    /// A request was read and is not answered.
-    Busy,
-}
-
-/// A connection that was accepted.
-struct Caller {
-    stage: Cell<Stage>,
-    /// When it came to that stage.
-    since: Cell<Instant>,
-    /// When the request that is being read began, or the connection where it is the first; and when it last got on.
-    begun: Cell<Instant>,
-    heard: Cell<Instant>,
-    /// Next hops' connections stay open while this node drains: it waits for what they have to say.
-    next_hop: Cell<bool>,
-    /// What it is sending has used up its time, or must make way.
-    cut: Cell<bool>,
-    /// No end of its request is known below hyper: it carries no other.
-    last: Cell<bool>,
-    /// Its connection is to look at `cut`, or where that is not set to close when it next can.
-    close: Notify,
-    /// Who waits to read what follows a request that is being answered.
-    follows: RefCell<Option<Waker>>,
-    /// What its connection reads from, while there is one.
-    inlet: RefCell<std::rc::Weak<RefCell<Inlet>>>,
-    /// The other process of this node has its job and its client: it ends here without a word.
-    moved: Cell<bool>,
-}
-
-impl Caller {
-    fn enter(&self, stage: Stage) {
-        let now = Instant::now();
-        if stage == Stage::Reading && self.stage.get() != Stage::New {
-            self.begun.set(now);
-        }
-        self.stage.set(stage);
-        self.since.set(now);
-        self.heard.set(now);
-        if let Some(waker) = self.follows.take() {
-            waker.wake();
-        }
-    }
-
-    /// A copy of its socket; none where more than the request has come on it, or it cannot be copied.
-    fn copy(&self) -> Option<OwnedFd> {
-        let inlet = self.inlet.borrow().upgrade()?;
-        let inlet = inlet.borrow();
-        (inlet.held.is_empty() && !self.last.get()).then(|| inlet.stream.as_fd().try_clone_to_owned().ok())?
-    }
-
-    /// Closes it for good order: between requests that does no harm.
-    fn end(&self) {
-        self.cut.set(self.stage.get() < Stage::Idle);
-        self.close.notify_one();
-    }
-
-    /// Whether its time is up.
-    fn overdue(&self, idle: Duration) -> bool {
-        match self.stage.get() {
-            Stage::New | Stage::Reading => self.begun.get().elapsed() >= READ_TIME,
-            Stage::Idle => self.since.get().elapsed() >= idle,
-            Stage::Busy => false,
-        }
-    }
-
-    /// Whether its client can go on elsewhere unharmed: it has sent nothing, and for so long that nothing of it is
-    /// likely to be on its way. One that is sending may finish.
-    fn can_go_on(&self) -> bool {
-        matches!(self.stage.get(), Stage::New | Stage::Idle) && !self.next_hop.get() && self.can_yield()
-    }
-
-    /// Whether it can make way. A young one may have sent a request that was not read yet.
-    fn can_yield(&self) -> bool {
-        match self.stage.get() {
-            Stage::New => self.since.get().elapsed() >= YOUNG,
-            // One that gets on is a slow client's; one that has stopped half way is nobody's.
-            Stage::Reading => self.heard.get().elapsed() >= SLOW,
-            Stage::Idle => self.since.get().elapsed() >= SETTLED,
-            Stage::Busy => false,
-        }
-    }
-}
-
-/// What comes on a connection, on its way to hyper. Each head is read here first: hyper takes a request that
-/// carries both lengths for a chunked one and drops the other length, by which another server may see a second
-/// request in it.
-struct Inlet {
-    stream: TcpStream,
-    caller: Rc<Caller>,
-    held: BytesMut,
-    /// So much may be handed on: a head that was read, and its body.
-    pass: u64,
-    counters: Counters,
-}
-
-impl Inlet {
-    /// What hyper is given instead of something that must not be served: it answers 400 and closes.
-    const REFUSED: &[u8] = b"REFUSED\r\n\r\n";
-
-    fn refuse(&mut self) {
-        self.counters.add(Counter::Rejected);
-        self.held.clear();
-        self.held.extend_from_slice(Self::REFUSED);
-        self.pass = u64::MAX;
-    }
-
-    /// Looks at the head that is held, as far as it has come.
-    fn judge(&mut self) {
-        let mut headers = [httparse::EMPTY_HEADER; 100];
-        let mut head = httparse::Request::new(&mut headers);
-        let end = match head.parse(&self.held) {
-            Ok(httparse::Status::Complete(end)) => end as u64,
-            Ok(httparse::Status::Partial) if self.held.len() <= LONGEST_HEAD => return,
-            // hyper says better what is wrong with it; nothing after it is read.
-            Ok(httparse::Status::Partial) | Err(_) => {
-                self.counters.add(Counter::Rejected);
-                return self.pass = u64::MAX;
-            }
-        };
-        let all = |name: &'static str| head.headers.iter().filter(move |h| h.name.eq_ignore_ascii_case(name));
-        let chunked = all("transfer-encoding").next().is_some();
-        let length = |h: &httparse::Header| {
-            let digits = !h.value.is_empty() && h.value.iter().all(u8::is_ascii_digit);
-            std::str::from_utf8(h.value).ok().filter(|_| digits)?.parse::<u64>().ok()
-        };
-        let mut lengths = all("content-length").map(length);
-        match (lengths.next(), lengths.next(), chunked) {
-            (None, _, false) => self.pass = end,
-            (Some(Some(length)), None, false) => self.pass = end.saturating_add(length),
-            (None, _, true) => {
-                // The end of a chunked body is known to hyper alone.
-                self.caller.last.set(true);
-                self.pass = u64::MAX;
-            }
-            _ => self.refuse(),
-        }
-    }
-
-    /// Whether something has come that was not read.
-    fn unread(&self) -> bool {
-        let mut byte = [std::mem::MaybeUninit::uninit()];
-        !socket2::SockRef::from(&self.stream)
-            .peek(&mut byte)
-            .is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
-    }
-}
-
-/// What hyper is given to read and write: the inlet, which its caller can look at as well.
-struct Door(Rc<RefCell<Inlet>>);
-
-impl Inlet {
-    fn poll_read(&mut self, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        let this = self;
-        loop {
-            if this.pass > 0 && !this.held.is_empty() {
-                let most = usize::try_from(this.pass).unwrap_or(usize::MAX);
-                let part = this.held.split_to(most.min(this.held.len()).min(out.remaining()));
-                out.put_slice(&part);
-                this.pass = if this.pass == u64::MAX { this.pass } else { this.pass - part.len() as u64 };
-                return Poll::Ready(Ok(()));
-            }
-            let busy = this.caller.stage.get() == Stage::Busy;
-            if this.pass == 0 && !this.held.is_empty() {
-                // hyper takes it that only the socket can wake what is pending here.
-                this.caller.follows.replace(Some(cx.waker().clone()));
-                if busy {
-                    // It is looked at once the request before it is answered.
-                    return Poll::Pending;
-                }
-                if this.caller.stage.get() != Stage::Reading {
-                    this.caller.enter(Stage::Reading);
-                }
-                this.judge();
-                if this.pass > 0 {
-                    continue;
-                }
-            }
-            if this.caller.cut.get() && !busy {
-                // What has come is read first, however late that is: it may be the end of a request, which would be
-                // lost. Its length is bounded.
-                this.caller.cut.set(false);
-                if !this.unread() {
-                    this.counters.add(Counter::Cut);
-                    if this.pass > 0 || this.held.is_empty() {
-                        return Poll::Ready(Ok(()));
-                    }
-                    this.refuse();
-                    continue;
-                }
-            }
-            let mut room = [std::mem::MaybeUninit::uninit(); 4096];
-            let mut part = ReadBuf::uninit(&mut room);
-            ready!(Pin::new(&mut this.stream).poll_read(cx, &mut part))?;
-            if part.filled().is_empty() {
-                return Poll::Ready(Ok(()));
-            }
-            this.caller.heard.set(Instant::now());
-            this.held.extend_from_slice(part.filled());
-        }
-    }
-}
-
-impl AsyncRead for Door {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        self.0.borrow_mut().poll_read(cx, out)
-    }
-}
-
-impl AsyncWrite for Door {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.0.borrow().stream.is_write_vectored()
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_shutdown(cx)
-    }
-}
-
 struct Shared {
     queue: Queue<Parcel>,
     clock: Clock,
@@ -330,7 +80,7 @@
     lifecycle: Lifecycle,
     counters: Counters,
     tuning: Rc<Cell<Tuning>>,
-    callers: RefCell<Vec<Weak<Caller>>>,
+    connections: RefCell<Vec<Weak<Connection>>>,
     room: Places,
     /// Jobs taken and not yet answered.
     open: Cell<usize>,
@@ -350,11 +100,11 @@
     pub tuning: Rc<Cell<Tuning>>,
 }
 
-/// The sender side of the node; one more for each connection, which is then its caller.
+/// The sender side of the node; one more for each connection, which is then its connection.
 #[derive(Clone)]
 pub struct SenderSide {
     shared: Rc<Shared>,
-    caller: Option<Rc<Caller>>,
+    connection: Option<Rc<Connection>>,
 }
 
 /// Stands for a job that was taken. Dropped without an answer it says that the client has gone; it holds a
@@ -374,60 +124,6 @@
     }
 }
 
-/// What a next hop tells of a job.
-#[derive(Deserialize)]
-struct Callback<'a> {
-    id: String,
-    from: String,
-    state: State,
-    share: Option<f64>,
-    #[serde(borrow)]
-    result: Option<&'a RawValue>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum State {
-    Started,
-    Running,
-    Done,
-    Failed,
-    Returned,
-    Lost,
-}
-
-impl Callback<'_> {
-    fn read(body: &Bytes) -> Result<(String, String, Word), String> {
-        let call: Callback =
-            serde_json::from_slice(body).map_err(|e| format!("the call cannot be read: {e}"))?;
-        let word = match call.state {
-            State::Started => Word::Started,
-            State::Running => match call.share.filter(|share| (0.0..=1.0).contains(share)) {
-                Some(share) => Word::Running(share),
-                None => return Err("field share is missing or no share".into()),
-            },
-            State::Done => Word::Done(unquoted(body, call.result.ok_or("field result is missing")?)?),
-            State::Failed => Word::Failed,
-            State::Returned => Word::Returned,
-            State::Lost => Word::Lost,
-        };
-        Ok((call.id, call.from, word))
-    }
-}
-
-/// The text of a result, as a part of the body that it came in where that has it without escapes.
-fn unquoted(body: &Bytes, result: &RawValue) -> Result<Bytes, String> {
-    let raw = result.get();
-    match raw.strip_prefix('"').and_then(|rest| rest.strip_suffix('"')) {
-        Some(text) if !text.contains('\\') => Ok(body.slice_ref(text.as_bytes())),
-        Some(_) => {
-            serde_json::from_str::<String>(raw).map(Bytes::from).map_err(|e| format!("field result: {e}"))
-        }
-        // A result that is no text is passed on as it stands.
-        None => Ok(body.slice_ref(raw.as_bytes())),
-    }
-}
-
 fn reply(status: StatusCode, text: impl Into<Bytes>) -> Reply {
     let mut reply = Response::new(Full::new(text.into()));
     *reply.status_mut() = status;
@@ -505,7 +201,7 @@
             lifecycle,
             counters,
             tuning,
-            callers: RefCell::default(),
+            connections: RefCell::default(),
             room,
             open: Cell::new(0),
             answered: Notify::new(),
@@ -513,7 +209,7 @@
             peer,
             moves: watch::Sender::new(false),
         });
-        SenderSide { shared, caller: None }
+        SenderSide { shared, connection: None }
     }
 
     /// `shared`: another process of this node may listen there as well.
@@ -537,8 +233,10 @@
                 // A node that ends keeps them open a little longer: clients use what they have until then.
                 let phase = self.shared.lifecycle.phase();
                 let sends_on = phase.sends_on() && !phase.ends();
-                let goes = |caller: &&Rc<Caller>| caller.overdue(idle) || sends_on && caller.can_go_on();
-                self.callers().iter().filter(goes).for_each(|caller| caller.end());
+                let goes = |connection: &&Rc<Connection>| {
+                    connection.overdue(idle) || sends_on && connection.can_go_on()
+                };
+                self.connections().iter().filter(goes).for_each(|connection| connection.end());
             }
         };
         tokio::join!(self.take_connections(listener), look);
@@ -585,24 +283,12 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    // It is known as a caller from here on, not from when its task first runs: a burst is
+                    // It is known as a connection from here on, not from when its task first runs: a burst is
                     // accepted before that, and would fill all places with connections that none can close.
-                    let caller = Rc::new(Caller {
-                        stage: Cell::new(Stage::New),
-                        since: Cell::new(Instant::now()),
-                        begun: Cell::new(Instant::now()),
-                        heard: Cell::new(Instant::now()),
-                        next_hop: Cell::new(false),
-                        cut: Cell::new(false),
-                        last: Cell::new(false),
-                        close: Notify::new(),
-                        follows: RefCell::default(),
-                        inlet: RefCell::default(),
-                        moved: Cell::new(false),
-                    });
-                    self.shared.callers.borrow_mut().push(Rc::downgrade(&caller));
-                    let serve =
-                        SenderSide { shared: self.shared.clone(), caller: Some(caller) }.serve(stream);
+                    let connection = Rc::new(Connection::new());
+                    self.shared.connections.borrow_mut().push(Rc::downgrade(&connection));
+                    let serve = SenderSide { shared: self.shared.clone(), connection: Some(connection) }
+                        .serve(stream);
                     spawn_local(async {
                         serve.await;
                         drop(room);
@@ -619,57 +305,53 @@
         }
     }
 
-    fn callers(&self) -> Vec<Rc<Caller>> {
-        let mut callers = self.shared.callers.borrow_mut();
-        callers.retain(|caller| caller.strong_count() > 0);
-        callers.iter().filter_map(Weak::upgrade).collect()
+    fn connections(&self) -> Vec<Rc<Connection>> {
+        let mut connections = self.shared.connections.borrow_mut();
+        connections.retain(|connection| connection.strong_count() > 0);
+        connections.iter().filter_map(Weak::upgrade).collect()
     }
 
     /// Closes the connection that is missed least: one that has brought nothing, before one that is slow to
     /// bring it, before a client's that is idle, before a next hop's. Of those the one that has stood longest.
     fn make_way(&self) {
-        let callers = self.callers();
-        let new = callers.iter().filter(|caller| caller.stage.get() == Stage::New).count();
+        let connections = self.connections();
+        let new =
+            connections.iter().filter(|connection| connection.state.get() == ConnectionState::New).count();
         // Among many that have brought nothing, one is about to be old enough.
-        let waits = |caller: &Caller| caller.stage.get() == Stage::Idle && new > callers.len() / 4;
-        let least = callers
-            .iter()
-            .filter(|caller| caller.can_yield() && !waits(caller))
-            .min_by_key(|caller| (caller.next_hop.get(), caller.stage.get(), caller.since.get()));
-        if let Some(caller) = least {
-            caller.end();
+        let waits = |connection: &Connection| {
+            connection.state.get() == ConnectionState::Idle && new > connections.len() / 4
+        };
+        let least =
+            connections.iter().filter(|connection| connection.can_yield() && !waits(connection)).min_by_key(
+                |connection| (connection.next_hop.get(), connection.state.get(), connection.since.get()),
+            );
+        if let Some(connection) = least {
+            connection.end();
             // It is not chosen twice.
-            caller.since.set(Instant::now());
+            connection.since.set(Instant::now());
         }
     }
 
     async fn serve(self, stream: TcpStream) {
         // Without it an answer could wait for the far end's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
-        let Some(caller) = self.caller.clone() else { return };
-        let inlet = Rc::new(RefCell::new(Inlet {
-            stream,
-            caller: caller.clone(),
-            held: BytesMut::new(),
-            pass: 0,
-            counters: self.shared.counters.clone(),
-        }));
-        *caller.inlet.borrow_mut() = Rc::downgrade(&inlet);
-        let connection = http1::Builder::new()
-            // Times are kept by `Caller`: a head's begins with its first byte.
+        let Some(connection) = self.connection.clone() else { return };
+        let filter = ReadFilter::new(stream, &connection, self.shared.counters.clone());
+        let http = http1::Builder::new()
+            // Times are kept by `Connection`: a head's begins with its first byte.
             .header_read_timeout(None)
             .max_buf_size(LONGEST_HEAD)
-            .serve_connection(TokioIo::new(Door(inlet)), TowerToHyperService::new(self));
-        let mut connection = pin!(connection);
+            .serve_connection(TokioIo::new(FilteredStream(filter)), TowerToHyperService::new(self));
+        let mut http = pin!(http);
         loop {
             tokio::select! {
                 // How it ended makes no difference here: a job that it carried says so by its drop.
-                _ = connection.as_mut() => return,
-                // One that is cut ends by what the inlet then says, when it is next polled.
-                () = caller.close.notified() => if caller.moved.get() {
+                _ = http.as_mut() => return,
+                // One that is cut ends by what the filter then says, when it is next polled.
+                () = connection.close.notified() => if connection.moved.get() {
                     return;
-                } else if !caller.cut.get() {
-                    connection.as_mut().graceful_shutdown();
+                } else if !connection.cut.get() {
+                    http.as_mut().graceful_shutdown();
                 }
             }
         }
@@ -677,9 +359,9 @@
 
     /// Closes clients' connections that carry no request.
     pub fn send_on(&self) {
-        for caller in self.callers() {
-            if caller.stage.get() != Stage::Busy && !caller.next_hop.get() {
-                caller.end();
+        for connection in self.connections() {
+            if connection.state.get() != ConnectionState::Busy && !connection.next_hop.get() {
+                connection.end();
             }
         }
     }
@@ -700,12 +382,12 @@
     pub async fn close(&self) {
         let closed = async {
             loop {
-                let callers = self.callers();
-                if callers.is_empty() {
+                let connections = self.connections();
+                if connections.is_empty() {
                     return;
                 }
-                callers.iter().for_each(|caller| caller.end());
-                drop(callers);
+                connections.iter().for_each(|connection| connection.end());
+                drop(connections);
                 sleep(Duration::from_millis(5)).await;
             }
         };
@@ -756,10 +438,10 @@
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             reply
         });
-        if let Some(caller) = &self.caller {
-            caller.enter(Stage::Idle);
-            let sends_on = shared.lifecycle.phase().sends_on() && !caller.next_hop.get();
-            if sends_on || caller.last.get() {
+        if let Some(connection) = &self.connection {
+            connection.enter(ConnectionState::Idle);
+            let sends_on = shared.lifecycle.phase().sends_on() && !connection.next_hop.get();
+            if sends_on || connection.last.get() {
                 // The client is to go on elsewhere.
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -772,12 +454,13 @@
         if request.size_hint().lower() > LONGEST_BODY as u64 {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB".into()));
         }
-        let spent = self.caller.as_ref().map_or(Duration::ZERO, |caller| caller.begun.get().elapsed());
+        let spent =
+            self.connection.as_ref().map_or(Duration::ZERO, |connection| connection.begun.get().elapsed());
         let left = (READ_TIME - SAYING_SO).saturating_sub(spent);
         match timeout(left, Limited::new(request, LONGEST_BODY).collect()).await {
             Ok(Ok(body)) => {
-                if let Some(caller) = &self.caller {
-                    caller.enter(Stage::Busy);
+                if let Some(connection) = &self.connection {
+                    connection.enter(ConnectionState::Busy);
                 }
                 Ok(body.to_bytes())
             }
@@ -790,11 +473,11 @@
     }
 
     async fn callback(&self, request: Request<Incoming>) -> Result<Reply, Malformed> {
-        if let Some(caller) = &self.caller {
-            caller.next_hop.set(true);
+        if let Some(connection) = &self.connection {
+            connection.next_hop.set(true);
         }
         let body = self.body(request.into_body()).await?;
-        let (id, from, word) = Callback::read(&body).map_err(bad)?;
+        let (id, from, word) = Callback::read(&body).map_err(|e| bad(e.to_string()))?;
         let (link, estranged) = (self.shared.peer.link(), self.shared.peer.estranged());
         let (holder, holds) = oneshot::channel();
         let holder = (link.is_some() || estranged).then_some(holder);
@@ -991,13 +674,13 @@
                 answer = &mut answered => break answer.map_err(|_| ended())?,
                 () = self.time_to_move(pause) => {
                     pause = MOVE_AGAIN;
-                    let client = self.caller.as_ref().and_then(|caller| caller.copy());
-                    if let Some(caller) = self.caller.as_ref()
+                    let client = self.connection.as_ref().and_then(|connection| connection.copy());
+                    if let Some(connection) = self.connection.as_ref()
                         && self.move_on(&ticket, client).await
                     {
                         open.gone = None;
-                        caller.moved.set(true);
-                        caller.close.notify_one();
+                        connection.moved.set(true);
+                        connection.close.notify_one();
                         // Its connection is dropped now, and this with it.
                         std::future::pending::<()>().await;
                     }
