A client that sends on behind its job and goes is seen to go

A stream's end lies behind all that was sent before it. With a request in hand and a byte of the next one held, ReadFilter::poll_read returned Pending and left the socket unread (the branch 'busy' before judge), so that neither an end nor a reset was seen: the job was sent on for a client that had gone. hyper itself stops reading where bytes lie behind a chunked body (mid_message_detect_eof), and left() of a job that had moved waited for ever once a byte had come. Ruled out: a client that sends nothing on; its end was always seen.

While a request is in hand the connection's own task reads on (ReadFilter::poll_gone), whatever hyper does. What follows is held up to a head's length; a client that sends more is answered and closed. An end or an error drops the connection and its job with it. left() reads on in the same way.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -52,7 +52,7 @@
     pub next_hop: Cell<bool>,
     /// What it is sending has used up its time, or must make way.
     pub cut: Cell<bool>,
-    /// No end of its request is known below hyper: it carries no other.
+    /// It carries no other request: the end of this one is known to hyper alone, or too much has come behind it.
     pub last: Cell<bool>,
     /// Its connection is to look at `cut`, or where that is not set to close when it next can.
     pub close: Notify,
@@ -218,6 +218,29 @@
 pub struct FilteredStream(pub Rc<RefCell<ReadFilter>>);
 
 impl ReadFilter {
+    /// Reads on while a request is in hand: an end of the stream lies behind all that was sent before it. Ready once
+    /// the far end has left.
+    pub fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        while self.connection.state.get() == ConnectionState::Busy {
+            let mut room = [std::mem::MaybeUninit::uninit(); 4096];
+            let mut part = ReadBuf::uninit(&mut room);
+            let read = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part));
+            if read.is_err() || part.filled().is_empty() {
+                return Poll::Ready(());
+            }
+            if self.held.len() + part.filled().len() > LONGEST_HEAD {
+                // No client that waits for its answer sends so much.
+                self.connection.last.set(true);
+                self.held.clear();
+            }
+            if !self.connection.last.get() {
+                self.held.extend_from_slice(part.filled());
+            }
+        }
+        // This is polled after hyper, by which alone a request comes to be in hand.
+        Poll::Pending
+    }
+
     fn poll_read(&mut self, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let this = self;
         loop {
@@ -228,14 +251,13 @@
                 this.pass = if this.pass == u64::MAX { this.pass } else { this.pass - part.len() as u64 };
                 return Poll::Ready(Ok(()));
             }
-            let busy = this.connection.state.get() == ConnectionState::Busy;
+            // hyper takes it that only the socket can wake what is pending here.
+            this.connection.follows.replace(Some(cx.waker().clone()));
+            if this.connection.state.get() == ConnectionState::Busy {
+                // What follows is looked at once this request is answered; `poll_gone` reads until then.
+                return Poll::Pending;
+            }
             if this.pass == 0 && !this.held.is_empty() {
-                // hyper takes it that only the socket can wake what is pending here.
-                this.connection.follows.replace(Some(cx.waker().clone()));
-                if busy {
-                    // It is looked at once the request before it is answered.
-                    return Poll::Pending;
-                }
                 if this.connection.state.get() != ConnectionState::Reading {
                     this.connection.enter(ConnectionState::Reading);
                 }
@@ -244,7 +266,7 @@
                     continue;
                 }
             }
-            if this.connection.cut.get() && !busy {
+            if this.connection.cut.get() {
                 // What has come is read first, however late that is: it may be the end of a request, which would be
                 // lost. Its length is bounded.
                 this.connection.cut.set(false);
--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -4,7 +4,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
@@ -26,7 +26,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use serde::{Deserialize, Serialize};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::OwnedPermit;
 use tokio::sync::{Notify, oneshot, watch};
@@ -341,12 +341,14 @@
             // Times are kept by `Connection`: a head's begins with its first byte.
             .header_read_timeout(None)
             .max_buf_size(LONGEST_HEAD)
-            .serve_connection(TokioIo::new(FilteredStream(filter)), TowerToHyperService::new(self));
+            .serve_connection(TokioIo::new(FilteredStream(filter.clone())), TowerToHyperService::new(self));
         let mut http = pin!(http);
         loop {
             tokio::select! {
+                biased;
                 // How it ended makes no difference here: a job that it carried says so by its drop.
                 _ = http.as_mut() => return,
+                () = poll_fn(|cx| filter.borrow_mut().poll_gone(cx)) => return,
                 // One that is cut ends by what the filter then says, when it is next polled.
                 () = connection.close.notified() => if connection.moved.get() {
                     return;
@@ -551,7 +553,7 @@
         let stream = std::net::TcpStream::from(client);
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         // Unanswered, it stays where it was.
-        let (Some((moved, parcel)), Ok(stream), Some(_place)) =
+        let (Some((moved, parcel)), Ok(mut stream), Some(_place)) =
             (read_record(&job), stream, self.shared.room.try_take())
         else {
             let _ = held.send(false);
@@ -571,7 +573,7 @@
             tokio::select! {
                 biased;
                 answer = &mut answered => break answer,
-                () = left(&stream) => return,
+                () = left(&mut stream) => return,
                 () = self.time_to_move(pause) => {
                     pause = MOVE_AGAIN;
                     if self.move_on(&ticket, stream.as_fd().try_clone_to_owned().ok()).await {
@@ -757,11 +759,9 @@
     Some((moved, parcel))
 }
 
-/// Returns once the far end has closed. What it sends meanwhile is left unread.
-async fn left(stream: &TcpStream) {
-    if stream.peek(&mut [0]).await.is_ok_and(|came| came > 0) {
-        std::future::pending().await
-    }
+/// Returns once the far end has closed. That lies behind all that it sends meanwhile, which nobody needs.
+async fn left(stream: &mut TcpStream) {
+    while stream.read(&mut [0; 4096]).await.is_ok_and(|came| came > 0) {}
 }
 
 /// The answer to a job that came with its client's socket, after which that is closed.
--- a/crates/node/tests/connections/mod.rs
+++ b/crates/node/tests/connections/mod.rs
@@ -1,1 +1,82 @@
 //! Clients' connections in their narrow moments: who leaves, closes or sends just as the node does.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use socket2::SockRef;
+
+use crate::common::*;
+
+/// Waits for an event that only the node's counters show.
+fn until(what: &str, mut come: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !come() {
+        assert!(begun.elapsed() < LONG, "{what}");
+    }
+}
+
+/// Closes it, with a reset or in good order.
+fn go(stream: TcpStream, reset: bool) {
+    if reset {
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("an option of any socket");
+    }
+    drop(stream);
+}
+
+#[test]
+fn who_sends_on_behind_a_job_and_goes_is_seen_to_go_and_the_job_is_not_sent() {
+    // No next hop is there, so that each job waits. Its client's end lies behind what the client sent on.
+    let (node, watch, _discovery) = Node::with(&[]);
+    let gone = || node.count("curlewusher_clients_gone_total");
+    let mut clients = 0;
+    for more in [0, 3, 40, 200 << 10] {
+        for reset in [false, true] {
+            let taken = node.count("curlewusher_jobs_taken_total");
+            let mut client = write(node.address, &job(&format!("r{clients}"), "view", 60.0, ""));
+            until("it is taken", || node.count("curlewusher_jobs_taken_total") > taken);
+            client.write_all("x".repeat(more).as_bytes()).expect("it reads on");
+            go(client, reset);
+            clients += 1;
+            until(&format!("{more} bytes, reset: {reset}"), || gone() == clients);
+        }
+    }
+    let hop = Server::start();
+    watch.line(&list(43, false, &[endpoint("s-1", hop.address, "in_service")]));
+    let client = write(node.address, &job("last", "view", 9.0, ""));
+    let got = hop.request();
+    assert_eq!(got.message.header("x-request-id"), Some("last"));
+    got.answer("202 Accepted");
+    node.tell("last", "s-1", r#""state":"done","result":"x""#);
+    assert_eq!(answer(client).status(), 200);
+    assert!(!hop.has_more());
+}
+
+#[test]
+fn who_sends_on_behind_a_chunked_job_and_goes_is_seen_to_go() {
+    // hyper reads to the end of a chunked body, and what lies behind that with it.
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let chunked = "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\nPOST /and more";
+    let client =
+        write(node.address, &job("r1", "view", 60.0, "").replace("Content-Length: 4\r\n\r\nbody", chunked));
+    hop.request().answer("202 Accepted");
+    go(client, false);
+    until("its going", || node.count("curlewusher_clients_gone_total") == 1);
+    assert_eq!(hop.request().message.start, "DELETE /jobs/r1 HTTP/1.1");
+}
+
+#[test]
+fn a_request_behind_a_job_waits_for_its_answer_and_is_served() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let mut client = Client::connect(node.address);
+    client.send(&(job("r1", "view", 9.0, "") + &job("r2", "view", 9.0, "")));
+    for id in ["r1", "r2"] {
+        let got = hop.request();
+        assert_eq!(got.message.header("x-request-id"), Some(id));
+        got.answer("202 Accepted");
+        node.tell(id, "s-1", r#""state":"done","result":"x""#);
+        assert_eq!(client.answer().expect("an answer").status(), 200);
+    }
+}
--- a/crates/node/tests/operation/upgrade.rs
+++ b/crates/node/tests/operation/upgrade.rs
@@ -494,3 +494,15 @@
         }
     }
 }
+
+#[test]
+fn who_sends_on_and_goes_is_seen_to_go_after_its_job_has_moved() {
+    let (scene, first) = Scene::begun(1);
+    let mut client = scene.held(&first.node, "r1");
+    let newer = scene.upgrade(&first);
+    until(|| newer.node.count(r#"curlewusher_jobs_moved_total{direction="here"}"#) == 1);
+    client.write_all(b"and more").expect("it reads on");
+    drop(client);
+    until(|| newer.node.count("curlewusher_clients_gone_total") == 1);
+    assert_eq!(scene.hops[0].request().message.start, "DELETE /jobs/r1 HTTP/1.1");
+}
