A request that is half read as the node ends is read to its end and served

From 0.7 s after SIGTERM on, send_on in sender_side.rs ended every connection that was not busy, also one in ConnectionState::Reading: a good client that takes up to 2 s to write its request was cut in its midst and answered 400, a failure, while the node went on for seconds with the jobs it had. A new connection was closed in the moment in which it was accepted, with its request on the way. Ruled out: bytes that have come are read before the cut, so that a whole request was never lost there.

While the node still has jobs in hand only idle connections are ended, and new ones that have stood for 50 ms. Half a request has the time that any has (READ_TIME), and makes a job of its own if it comes to its end.

Measured: a_request_that_is_half_read_as_the_node_ends_is_served (one cut in its head, one in its body) fails against the program before this change, whose node never takes either, and passes with it.

--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -379,11 +379,15 @@
         }
     }
 
-    /// Closes clients' connections that carry no request.
-    pub fn send_on(&self) {
+    /// Ends clients' connections that carry no request. One on which a request has begun may bring it to its end.
+    fn send_on(&self) {
         for connection in self.connections() {
-            let over = matches!(connection.state.get(), ConnectionState::Busy | ConnectionState::Lingering);
-            if !over && !connection.next_hop.get() {
+            let free = match connection.state.get() {
+                ConnectionState::New => connection.can_yield(),
+                ConnectionState::Idle => true,
+                ConnectionState::Reading | ConnectionState::Busy | ConnectionState::Lingering => false,
+            };
+            if free && !connection.next_hop.get() {
                 connection.end();
             }
         }
--- a/crates/node/tests/connections/mod.rs
+++ b/crates/node/tests/connections/mod.rs
@@ -130,9 +130,7 @@
 fn a_request_that_crosses_the_end_of_its_connection_meets_no_reset_and_is_not_served() {
     let hop = Server::start();
     let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
-    let ready = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
-    let mut idle = write(node.address, ready);
-    assert_eq!(Message::read(&mut std::io::BufReader::new(&idle)).expect("an answer").status(), 200);
+    let mut idle = idle(&node);
     // A job in hand keeps the node from ending.
     let client = write(node.address, &job("r1", "view", 9.0, ""));
     hop.request().answer("202 Accepted");
@@ -145,3 +143,49 @@
     assert!(node.end().status.success());
     assert!(!hop.has_more());
 }
+
+const READY: &str = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/// An idle connection, on which one answer has come.
+fn idle(node: &Node) -> TcpStream {
+    let stream = write(node.address, READY);
+    assert_eq!(Message::read(&mut std::io::BufReader::new(&stream)).expect("an answer").status(), 200);
+    stream
+}
+
+/// Returns once the node has ended an idle connection: so long after SIGTERM it ends as soon as nothing is in hand.
+fn ended(mut idle: TcpStream) {
+    assert_eq!(idle.read(&mut [0]).expect("an end in good order"), 0);
+}
+
+#[test]
+fn a_request_that_is_half_read_as_the_node_ends_is_served() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let first = write(node.address, &job("r1", "view", 9.0, ""));
+    hop.request().answer("202 Accepted");
+    let idle = idle(&node);
+    node.signal("-TERM");
+    while node.get("/ready").status() == 200 {}
+    let requests = ["r2", "r3"].map(|id| job(id, "view", 9.0, ""));
+    // One is in its head, the other in its body.
+    let mut parts = requests.iter().zip([30, requests[1].len() - 2]).map(|(r, at)| r.split_at(at));
+    let mut begun: Vec<_> = parts.by_ref().map(|(begun, rest)| (write(node.address, begun), rest)).collect();
+    ended(idle);
+    for (client, rest) in &mut begun {
+        client.write_all(rest.as_bytes()).expect("it reads on");
+    }
+    until("all are taken", || node.count("curlewusher_jobs_taken_total") == 3);
+    node.tell("r1", "s-1", r#""state":"done","result":"x""#);
+    for _ in &begun {
+        let got = hop.request();
+        got.answer("202 Accepted");
+        let id = got.message.header("x-request-id").expect("an id");
+        node.tell(id, "s-1", r#""state":"done","result":"x""#);
+    }
+    for client in begun.into_iter().map(|(client, _)| client).chain([first]) {
+        let answer = answer(client);
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    }
+    assert!(node.end().status.success());
+}
