Nothing is taken once a node that ends has seen that all is answered

finish() in sender_side.rs returned when no job was open, and close() then ended the connections one by one, up to 1 s long: a request read in that time was still handed to the dispatch task, and the process ended under it. A job that waited for a claim or for its place in the queue was not counted as open yet, so that finish() could pass it over; nor was one that the other process moved here. serve.rs dropped the listener before close(), which resets what it has in its queue. Ruled out: call-backs, which are read and answered up to the end of close().

A job counts from its last byte on, with no await before that. finish() marks the end in the same step in which it sees that nothing is open (Shared::over); a request that is read later was never sent on and is told to come again (503, Retry-After, Connection: close), and what is half read then is closed without a 400. A job from the other process stays there. The listener goes last: what waits in its queue is accepted and treated the same.

Measured: what_comes_when_all_is_answered_is_told_to_come_again gets no answer from the program before this change and a 503 after it. sigterm_twice_and_before_a_list_is_there_ends_well_with_every_job_answered passes with both: a second SIGTERM and a SIGHUP change nothing.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -155,6 +155,8 @@
     /// So much may be handed on: a head that was read, and its body.
     pass: u64,
     counters: Counters,
+    /// The node ends: half a request is closed without an answer, so that its client may send it elsewhere.
+    over: Rc<Cell<bool>>,
 }
 
 impl ReadFilter {
@@ -167,10 +169,10 @@
         stream: TcpStream,
         connection: &Rc<Connection>,
         counters: Counters,
+        over: Rc<Cell<bool>>,
     ) -> Rc<RefCell<ReadFilter>> {
-        let held = BytesMut::new();
-        let connection = connection.clone();
-        let filter = Rc::new(RefCell::new(ReadFilter { stream, connection, held, pass: 0, counters }));
+        let (connection, held) = (connection.clone(), BytesMut::new());
+        let filter = Rc::new(RefCell::new(ReadFilter { stream, connection, held, pass: 0, counters, over }));
         *filter.borrow().connection.filter.borrow_mut() = Rc::downgrade(&filter);
         filter
     }
@@ -284,7 +286,7 @@
                 this.connection.cut.set(false);
                 if !this.unread() {
                     this.counters.add(Counter::Cut);
-                    if this.pass > 0 || this.held.is_empty() {
+                    if this.pass > 0 || this.held.is_empty() || this.over.get() {
                         return Poll::Ready(Ok(()));
                     }
                     this.refuse();
--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -86,8 +86,10 @@
     tuning: Rc<Cell<Tuning>>,
     connections: RefCell<Vec<Weak<Connection>>>,
     room: Places,
-    /// Jobs taken and not yet answered.
+    /// Jobs taken and not yet answered, from the last byte of each on.
     open: Cell<usize>,
+    /// Nothing was left unanswered when this node ended: from then on no job is taken.
+    over: Rc<Cell<bool>>,
     answered: Notify,
     /// Whether new connections are this process's to take.
     accepts: watch::Sender<bool>,
@@ -112,12 +114,19 @@
 }
 
 /// Stands for a job that was taken. Dropped without an answer it says that the client has gone; it holds a
-/// place in the queue for that, since a drop cannot wait for one.
+/// place in the queue for that, since a drop cannot wait for one. Until it has that place nobody knows the job.
 struct OpenJob {
     gone: Option<(OwnedPermit<Notice<Parcel>>, Ticket)>,
     shared: Rc<Shared>,
 }
 
+impl OpenJob {
+    fn new(shared: &Rc<Shared>) -> OpenJob {
+        shared.open.set(shared.open.get() + 1);
+        OpenJob { gone: None, shared: shared.clone() }
+    }
+}
+
 impl Drop for OpenJob {
     fn drop(&mut self) {
         self.shared.open.set(self.shared.open.get() - 1);
@@ -208,6 +217,7 @@
             connections: RefCell::default(),
             room,
             open: Cell::new(0),
+            over: Rc::default(),
             answered: Notify::new(),
             accepts: watch::Sender::new(false),
             peer,
@@ -348,7 +358,8 @@
         // Without it an answer could wait for the far end's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
         let Some(connection) = self.connection.clone() else { return };
-        let filter = ReadFilter::new(stream, &connection, self.shared.counters.clone());
+        let filter =
+            ReadFilter::new(stream, &connection, self.shared.counters.clone(), self.shared.over.clone());
         let closes = self.carry(&connection, &filter).await;
         if closes && let Ok(filter) = Rc::try_unwrap(filter) {
             linger(filter.into_inner().into_stream(), &connection).await;
@@ -393,30 +404,32 @@
         }
     }
 
-    /// Closes idle clients' connections, and returns once nothing that was taken is unanswered.
+    /// Ends idle clients' connections, and returns once nothing that was taken is unanswered. What is read from then
+    /// on was never sent on: it is told to come again.
     pub async fn finish(&self) {
         loop {
             let answered = self.shared.answered.notified();
             self.send_on();
             if self.shared.open.get() == 0 {
+                self.shared.over.set(true);
                 return;
             }
             answered.await;
         }
     }
 
-    /// Closes all connections once what is being written on them is written.
+    /// Closes all connections, those that still come among them, once what is being written on them is written.
     pub async fn close(&self) {
+        let lingers = |c: &Connection| c.state.get() == ConnectionState::Lingering;
         let closed = async {
             loop {
-                let connections = self.connections();
-                let lingers = |c: &Connection| c.state.get() == ConnectionState::Lingering;
-                if connections.iter().all(|c| lingers(c) && c.since.get().elapsed() >= LAST_LINGER) {
+                self.connections().iter().filter(|c| !lingers(c)).for_each(|c| c.end());
+                // What waits at the listener is accepted meanwhile.
+                sleep(Duration::from_millis(5)).await;
+                let done = |c: &Rc<Connection>| lingers(c) && c.since.get().elapsed() >= LAST_LINGER;
+                if self.connections().iter().all(done) {
                     return;
                 }
-                connections.iter().filter(|c| !lingers(c)).for_each(|c| c.end());
-                drop(connections);
-                sleep(Duration::from_millis(5)).await;
             }
         };
         // A far end that reads nothing must not keep this node from ending.
@@ -469,7 +482,7 @@
         if let Some(connection) = &self.connection {
             connection.enter(ConnectionState::Idle);
             let sends_on = shared.lifecycle.phase().sends_on() && !connection.next_hop.get();
-            if sends_on || connection.last.get() {
+            if sends_on || connection.last.get() || shared.over.get() {
                 // The client is to go on elsewhere.
                 reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
@@ -579,12 +592,13 @@
         let stream = std::net::TcpStream::from(client);
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         // Unanswered, it stays where it was.
-        let (Some((moved, parcel)), Ok(mut stream), Some(_place)) =
-            (read_record(&job), stream, self.shared.room.try_take())
+        let (Some((moved, parcel)), Ok(mut stream), Some(_place), false) =
+            (read_record(&job), stream, self.shared.room.try_take(), self.shared.over.get())
         else {
             let _ = held.send(false);
             return;
         };
+        let mut open = OpenJob::new(&self.shared);
         let ticket = Ticket::default();
         let Ok(place_for_gone) = self.shared.queue.clone().reserve_owned().await else { return };
         let (answer, mut answered) = oneshot::channel();
@@ -592,8 +606,7 @@
         if self.shared.queue.send(Notice::Adopted(adopted)).await.is_err() {
             return;
         }
-        self.shared.open.set(self.shared.open.get() + 1);
-        let mut open = OpenJob { gone: Some((place_for_gone, ticket.clone())), shared: self.shared.clone() };
+        open.gone = Some((place_for_gone, ticket.clone()));
         let mut pause = Duration::ZERO;
         let answer = loop {
             tokio::select! {
@@ -658,6 +671,16 @@
         }
         let subject = number_of(path.path().rsplit('/').next().unwrap_or_default());
         let (parts, incoming) = request.into_parts();
+        let body = self.body(incoming).await;
+        // No await from here to where it counts as open: the node ends once it has seen that nothing is.
+        if shared.over.get() || body.is_ok() && shared.open.get() >= self.most_open() {
+            if !shared.over.get() {
+                shared.counters.add(Counter::Crowded);
+            }
+            return Ok(deferred(shared.tuning.get().crowded_retry_ms.millis()));
+        }
+        let body = body?;
+        let mut open = OpenJob::new(shared);
         let parcel = Parcel {
             method: parts.method,
             // In the form that a server of its own is asked in, without a scheme and a host.
@@ -665,13 +688,9 @@
             id: parts.headers[X_REQUEST_ID].clone(),
             key,
             content_type: parts.headers.get(CONTENT_TYPE).cloned(),
-            body: self.body(incoming).await?,
+            body,
         };
 
-        if shared.open.get() >= self.most_open() {
-            shared.counters.add(Counter::Crowded);
-            return Ok(deferred(shared.tuning.get().crowded_retry_ms.millis()));
-        }
         let ended = || (StatusCode::BAD_GATEWAY, "this node has ended".to_owned());
         // While another process of this node runs, a job of one id must not be in hand at both.
         let claim = match shared.peer.link() {
@@ -680,8 +699,7 @@
         };
         let ticket = Ticket::default();
         let place_for_gone = shared.queue.clone().reserve_owned().await.map_err(|_| ended())?;
-        shared.open.set(shared.open.get() + 1);
-        let mut open = OpenJob { gone: Some((place_for_gone, ticket.clone())), shared: shared.clone() };
+        open.gone = Some((place_for_gone, ticket.clone()));
         let (answer, mut answered) = oneshot::channel();
         let taken = Taken {
             id,
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -223,8 +223,9 @@
         let _ = ending.send(Notice::Ending(answered_within)).await;
         tokio::time::sleep(DRAIN_AT_LEAST).await;
         sender_side.finish().await;
-        accept.abort();
+        // The listener goes last: a connection that it has in its queue would be reset.
         sender_side.close().await;
+        accept.abort();
         let rest = async {
             while !next_hops.at_rest() {
                 tokio::time::sleep(Duration::from_millis(10)).await;
--- a/crates/node/tests/connections/mod.rs
+++ b/crates/node/tests/connections/mod.rs
@@ -189,3 +189,48 @@
     }
     assert!(node.end().status.success());
 }
+
+/// A client that asks for more than the system holds for it, and reads one answer only.
+fn reads_nothing(node: &Node) -> TcpStream {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("an option of any socket");
+    socket.connect(&node.address.into()).expect("it listens");
+    let mut stream = TcpStream::from(socket);
+    let ask = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+    stream.write_all(ask.repeat(420).as_bytes()).expect("it reads");
+    stream.read_exact(&mut [0; 12]).expect("an answer");
+    stream
+}
+
+#[test]
+fn what_comes_when_all_is_answered_is_told_to_come_again() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let _slow = reads_nothing(&node);
+    let idle = idle(&node);
+    node.signal("-TERM");
+    ended(idle);
+    // Nothing was in hand, and an answer that nobody reads keeps the node a little longer.
+    let answer = ask(node.address, &job("r1", "view", 9.0, ""));
+    assert_eq!((answer.status(), answer.header("connection")), (503, Some("close")));
+    assert!(answer.header("retry-after").is_some());
+    assert!(node.end().status.success());
+    assert!(!hop.has_more());
+}
+
+#[test]
+fn sigterm_twice_and_before_a_list_is_there_ends_well_with_every_job_answered() {
+    let discovery = Server::start();
+    let node = Node::start(&config(discovery.address, &[]));
+    // Discovery holds its answer.
+    discovery.request();
+    let client = write(node.address, &job("r1", "view", 60.0, ""));
+    until("it is taken", || node.count("curlewusher_jobs_taken_total") == 1);
+    node.signal("-TERM");
+    node.says_of("drains");
+    node.signal("-HUP");
+    node.signal("-TERM");
+    let answer = answer(client);
+    assert_eq!((answer.status(), answer.header("connection")), (503, Some("close")));
+    assert!(node.end().status.success());
+}
