Test: a flood of bad clients of every kind shuts no good one out

Needed since a connection that the node ends holds its descriptor a little longer: clients that send much at once and go, with a reset or without, that rest until the node ends them, that stop half way or say nothing.

300 of them meet a node with 64 descriptors, a good job and /ready among each 50 are answered, no accept fails for want of a descriptor, and who rests is ended. No change of the program.

--- a/crates/node/tests/connections/mod.rs
+++ b/crates/node/tests/connections/mod.rs
@@ -234,3 +234,46 @@
     assert_eq!((answer.status(), answer.header("connection")), (503, Some("close")));
     assert!(node.end().status.success());
 }
+
+#[test]
+fn a_flood_of_bad_clients_of_every_kind_shuts_no_good_one_out() {
+    let (discovery, hop) = (Server::start(), Server::start());
+    let config = config(discovery.address, &[endpoint("s-1", hop.address, "in_service")]);
+    let node = Node::start_within(&config.replace("1024", "64"), 64);
+    let much = "x".repeat(60 << 10);
+    let bad = |kind: usize| match kind {
+        // Refused, with much behind it; refused in its body; half a head; nothing; good, with more behind it.
+        0 => "POST /elsewhere HTTP/1.1\r\nContent-Length: 60000\r\n\r\n".to_owned() + &much,
+        1 => "POST /api/k HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n".to_owned() + &much,
+        2 => "POST /api".to_owned(),
+        3 => String::new(),
+        _ => READY.to_owned() + "GET /and",
+    };
+    // Most go at once, with a reset or without. Some rest until the node ends them.
+    let mut rest = Vec::new();
+    for n in 0..300 {
+        let mut stream = TcpStream::connect(node.address).expect("it listens");
+        // It may have been ended already to make way.
+        let _ = stream.write_all(bad(n % 5).as_bytes());
+        match n % 4 {
+            0 => rest.push(stream),
+            left => go(stream, left == 1),
+        }
+        if n % 50 == 49 {
+            let id = format!("r{n}");
+            let client = write(node.address, &job(&id, "view", 9.0, ""));
+            hop.request().answer("202 Accepted");
+            node.tell(&id, "s-1", r#""state":"done","result":"x""#);
+            assert_eq!(answer(client).status(), 200, "{id}");
+            assert_eq!(node.get("/ready").status(), 200);
+        }
+    }
+    assert_eq!(node.count("curlewusher_accept_failures_total"), 0, "it keeps within its descriptors");
+    // Who rests is ended, in good order or not.
+    for mut stream in rest {
+        let mut said = Vec::new();
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        let timed_out = |e: std::io::Error| e.kind() == std::io::ErrorKind::WouldBlock;
+        assert!(!stream.read_to_end(&mut said).is_err_and(timed_out), "it is held for ever");
+    }
+}
