A client that goes while its job moves in vain is seen to go

A job that goes to the other process of its node is held by neither dispatch task until that one answers. Where its client left just then, Notice::ClientGone found no such job; where the other process never answered, the job was taken back (Notice::MoveEnded) with nobody to tell that its client had gone, and was sent on to its deadline. Ruled out: a move that succeeds, as the other process has a copy of the socket and sees the end itself; a client that leaves before or after the move.

The task that moves a job outlives its client's connection; it now says so once the job is back here. The branch that reads on stands last in carry(), so that one that is flooded still hears that it is to end.

Measured: who_goes_while_its_job_moves_in_vain_is_seen_to_go (the other process is stopped, the job on its way, the client goes, the process is killed) waits in vain without the change and passes in 0.2 s with it.

--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -29,6 +29,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc::OwnedPermit;
+use tokio::sync::oneshot::error::TryRecvError;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout};
@@ -379,13 +380,14 @@
                 biased;
                 // How it ended makes no difference here: a job that it carried says so by its drop.
                 _ = http.as_mut() => return true,
-                () = poll_fn(|cx| filter.borrow_mut().poll_gone(cx)) => return false,
                 // One that is cut ends by what the filter then says, when it is next polled.
                 () = connection.close.notified() => if connection.moved.get() {
                     return false;
                 } else if !connection.cut.get() {
                     http.as_mut().graceful_shutdown();
-                }
+                },
+                // Last: one that is flooded uses its turn up.
+                () = poll_fn(|cx| filter.borrow_mut().poll_gone(cx)) => return false,
             }
         }
     }
@@ -572,6 +574,8 @@
     async fn move_on(&self, ticket: &Ticket, client: Option<OwnedFd>) -> bool {
         let (Some(link), Some(client)) = (self.shared.peer.link(), client) else { return false };
         let (queue, ticket) = (self.shared.queue.clone(), ticket.clone());
+        // Dropped with this future when the client leaves meanwhile.
+        let (_client_here, mut client_gone) = oneshot::channel::<Infallible>();
         // A task of its own: a client that leaves now must not leave the job between both.
         let moving = spawn_local(async move {
             let (to, let_go) = oneshot::channel();
@@ -581,7 +585,11 @@
                 Some(record) => link.move_job(record, client).await,
                 None => false,
             };
-            queue.send(Notice::MoveEnded(ticket, held)).await.ok()?;
+            queue.send(Notice::MoveEnded(ticket.clone(), held)).await.ok()?;
+            if !held && client_gone.try_recv() == Err(TryRecvError::Closed) {
+                // While it was on its way nobody heard that; the other process would have seen it by itself.
+                queue.send(Notice::ClientGone(ticket)).await.ok()?;
+            }
             Some(held)
         });
         moving.await.ok().flatten().unwrap_or(false)
--- a/crates/node/tests/operation/upgrade.rs
+++ b/crates/node/tests/operation/upgrade.rs
@@ -506,3 +506,29 @@
     until(|| newer.node.count("curlewusher_clients_gone_total") == 1);
     assert_eq!(scene.hops[0].request().message.start, "DELETE /jobs/r1 HTTP/1.1");
 }
+
+#[test]
+fn who_goes_while_its_job_moves_in_vain_is_seen_to_go() {
+    let (scene, older) = Scene::begun(1);
+    let (client, got) = scene.sent(&older.node, "r1");
+    // A next hop's connection, which stays with the older one.
+    let kept = std::cell::RefCell::new(Client::connect(older.node.address));
+    let call = r#"{"id":"r1","from":"s-1","state":"running","share":0.1}"#;
+    let head = format!("POST /callback HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n", call.len());
+    let says = || {
+        kept.borrow_mut().send(&(head.clone() + call));
+        kept.borrow_mut().answer().expect("an answer").status()
+    };
+    assert_eq!(says(), 204);
+    let newer = scene.upgrade(&older);
+    newer.node.signal("-STOP");
+    got.answer("202 Accepted");
+    // It is on its way, and nobody takes it on.
+    until(|| says() == 503);
+    drop(client);
+    // The client's end is read before what is said next.
+    says();
+    newer.node.kill();
+    until(|| older.node.count("curlewusher_clients_gone_total") == 1);
+    assert_eq!(scene.hops[0].request().message.start, "DELETE /jobs/r1 HTTP/1.1");
+}
