A test passes over the end of an idle connection to its next hop

Seen once on a machine with 23 runnable tasks on 6 cores: a_client_that_closes_is_gone_and_its_job_withdrawn got an empty message where it looks for the second job. The program closes a connection to a next hop that has rested for reuse_ms (300 ms), and the test's server hands that end out like a request.

The second job is waited for with request(), which passes ends of connections over, as other tests do. What the test asserts is the same.

--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -194,7 +194,7 @@
     got.answer("204 No Content");
     // Before it, the connection is closed as well: on a cut network only a call that is repeated arrives.
     let client = write(node.address, &job("r2", "view", 5.0, ""));
-    let got = hop.next();
+    let got = hop.request();
     assert!(got.message.start.starts_with("POST"), "{}", got.message.start);
     drop(client);
     is_given_up(&hop, "r2", got.connection);
