A repeated word of an earlier attempt withdraws a later one instead of ending it

Seen: a next hop says 'returned', the answer to that call is lost, the job goes there once more and is taken on, and the call is repeated. The repeat ended the attempt that runs as one that never ran, and an unsafe job went out a third time beside it. The look for repeats in told() covered only attempts that had not yet been taken on; ruled out that the core keeps such a worker out: it does so after attempts that were called off or lost, not after 'returned' or 'failed'.

Change: a word that cannot be told from such a repeat withdraws the attempt, and the job goes on only once that was heard, as one that may have run. A real second word of that kind costs one DELETE.

Measured: moves::a_repeat_of_an_earlier_word_ends_no_later_attempt_that_may_run sees the second copy (a POST at the other next hop) without the change, and the withdrawal with it.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -602,12 +602,16 @@
             // Next hops repeat a call until they hear an answer. A repeat of the word that ended an earlier
             // attempt there must not end this one, which that next hop has not yet taken on.
             let repeat = |a: &Attempt| &*a.from == from && a.last.as_ref() == Some(&word);
-            let stale = !attempts[at].accepted && attempts[..at].iter().any(repeat);
-            (!stale).then_some((AttemptKey { job, attempt: at as u32 }, &mut attempts[at]))
+            let repeat = attempts[..at].iter().any(repeat);
+            let stale = repeat && !attempts[at].accepted;
+            (!stale).then_some((AttemptKey { job, attempt: at as u32 }, &mut attempts[at], repeat))
         });
-        let Some((key, attempt)) = found else { return self.counters.add(Counter::CallbacksIdle) };
+        let Some((key, attempt, repeat)) = found else { return self.counters.add(Counter::CallbacksIdle) };
         let AttemptKey { job, attempt: number } = key;
         let outcome = match &word {
+            // That next hop has taken this one on as well. Whether it says so of this one or once more of the one
+            // before cannot be told: this one may run, and is withdrawn before anything else becomes of its job.
+            Word::Failed | Word::Returned | Word::Lost if repeat => return self.give_up(key, Outcome::Error),
             Word::Started => {
                 debug!(target: DISPATCH, request_id = id, attempt = number, from, "attempt started");
                 return self.tell(Event::Started { job, attempt: number });
