A copy that starts while it is withdrawn no longer calls off the one that stays

Seen, where the settings allow two attempts at once: the first copy to start has the other called off; that one starts before its withdrawal has arrived, and its call-back had the first called off in turn. Both were withdrawn, and a job that ran twice over was answered as not served. told() handed 'started' and 'running' of an attempt on to the module in whatever stage it was. The module cannot tell: for it an attempt that is being called off is still out.

Change: 'started' and 'running' of an attempt that is being withdrawn have no effect.

Measured: moves::a_copy_that_starts_while_it_is_withdrawn_does_not_call_off_the_one_that_stays counts two attempts given up without the change, and one with it.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -609,6 +609,10 @@
         let Some((key, attempt, repeat)) = found else { return self.counters.add(Counter::CallbacksIdle) };
         let AttemptKey { job, attempt: number } = key;
         let outcome = match &word {
+            // It is being withdrawn: that it starts all the same must not call off the one that is to stay.
+            Word::Started | Word::Running(_) if matches!(attempt.stage, Stage::GivingUp(_)) => {
+                return self.counters.add(Counter::CallbacksIdle);
+            }
             // That next hop has taken this one on as well. Whether it says so of this one or once more of the one
             // before cannot be told: this one may run, and is withdrawn before anything else becomes of its job.
             Word::Failed | Word::Returned | Word::Lost if repeat => return self.give_up(key, Outcome::Error),
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -100,6 +100,11 @@
         (&self.stream).write_all(bytes.as_bytes()).is_ok()
     }
 
+    /// The next hop's own end of the connection.
+    pub fn local(&self) -> SocketAddr {
+        self.stream.local_addr().expect("an address")
+    }
+
     /// Ends the connection without an answer.
     pub fn reset(&self) {
         self.stream.shutdown(std::net::Shutdown::Both).expect("it was open");
--- a/crates/node/tests/moves/mod.rs
+++ b/crates/node/tests/moves/mod.rs
@@ -46,3 +46,47 @@
     assert_eq!(answer(client).status(), 502);
     assert_eq!(node.count("curlewusher_delivery_attempts_total"), 2);
 }
+
+#[test]
+fn a_copy_that_starts_while_it_is_withdrawn_does_not_call_off_the_one_that_stays() {
+    let hops = [Server::start(), Server::start()];
+    let names = ["s-1", "s-2"];
+    let two = |discovery, known: &[String]| {
+        let text = config(discovery, known).replace(r#""mayDuplicate":false"#, r#""mayDuplicate":true"#);
+        // That a next hop is slow to take a job on is not looked at here: on a busy machine it may be.
+        text.replace(r#""connectTimeoutUs":500000"#, r#""connectTimeoutUs":6000000"#)
+    };
+    let (node, _watch, _discovery) = Node::configured(&[("s-1", &hops[0]), ("s-2", &hops[1])], two);
+    let next = || {
+        let got = first_of(&hops[0], &hops[1]);
+        let at = hops.iter().position(|hop| got.local() == hop.address).expect("one of both");
+        (got, at)
+    };
+    // Second copies are earned by the work that came before.
+    for n in 0..12 {
+        let client = write(node.address, &job(&format!("r{n}"), "view", 8.0, ""));
+        let (got, at) = next();
+        got.answer("202 Accepted");
+        node.tell(&format!("r{n}"), names[at], r#""state":"done","result":"x""#);
+        assert_eq!(answer(client).status(), 200);
+    }
+    let client = write(node.address, &job("c", "view", 8.0, ""));
+    let (first, one) = next();
+    first.answer("202 Accepted");
+    // It does not start there.
+    let (second, other) = next();
+    assert!(other != one && second.message.start.starts_with("POST"), "{}", second.message.start);
+    second.answer("202 Accepted");
+    node.tell("c", names[other], r#""state":"started""#);
+    let (withdrawal, at) = next();
+    assert_eq!((withdrawal.message.start.as_str(), at), ("DELETE /jobs/c HTTP/1.1", one));
+    // It starts there now, and the withdrawal is on its way yet.
+    let callbacks = "curlewusher_callbacks_total";
+    let before = node.count(callbacks);
+    node.tell("c", names[one], r#""state":"started""#);
+    until(|| node.count(callbacks) > before);
+    assert_eq!(node.count("curlewusher_delivery_attempts_given_up_total"), 1, "both copies are called off");
+    withdrawal.answer("200 OK");
+    node.tell("c", names[other], r#""state":"done","result":"x""#);
+    assert_eq!(answer(client).status(), 200);
+}
