A client that leaves while its job is on its way to the other process is gone

Seen: while a job moves between both processes of a node it stands in neither list of held jobs, and Notice::ClientGone found nothing to do. Where the move then failed, move_ended() took the job up again for nobody: one in line was sent on later, one that was out ran on to its deadline. Ruled out: where the move succeeds the other process sees the end by its copy of the socket.

Change: ClientGone takes the answer out of a job that is leaving too. A move that fails drops such a job where nothing of it is out, and else takes it up and tells the module that its client has gone, which withdraws it.

Measured, with the younger process played by the test on the node's Unix socket, which holds its answer to the move: without the change moves::a_client_that_leaves_while_its_job_moves_is_gone_and_the_job_not_sent_on sees the job at a next hop, and ..._and_what_is_out_is_withdrawn sees no client counted as gone.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -401,9 +401,10 @@
             Notice::Taken(taken) => self.take(taken),
             Notice::ClientGone(ticket) => {
                 let Some(job) = ticket.0.get() else { return };
-                if let Some(held) = self.held.get_mut(&job)
-                    && held.answer.take().is_some()
-                {
+                // One that is on its way to the other process is nobody's here until that has ended.
+                let leaving = self.leaving.get_mut(&job).map(|(_, held)| held);
+                let Some(held) = self.held.get_mut(&job).or(leaving) else { return };
+                if held.answer.take().is_some() {
                     self.counters.add(Counter::ClientsGone);
                     debug!(target: DISPATCH, request_id = %held.id, "client gone");
                     self.tell(Event::ClientGone { job });
@@ -494,6 +495,12 @@
             self.ids.remove(&held.id);
             return self.counters.add(Counter::MovedAway);
         }
+        let gone = held.answer.is_none();
+        if gone && !moved.attempts.iter().any(|a| a.out) {
+            // Its client has left meanwhile, and nothing of it is out.
+            self.ids.remove(&held.id);
+            return;
+        }
         self.held.insert(id, held);
         for (a, number) in moved.attempts.iter().zip(0..).filter(|(a, _)| a.out) {
             self.due.insert((a.times_out, Due::TimeOut(AttemptKey { job: id, attempt: number })));
@@ -501,6 +508,9 @@
         // What was let go a moment ago can be taken on again.
         self.dispatcher.adopt(self.clock.now(), id, &moved.job, &mut self.actions);
         self.carry_out();
+        if gone {
+            self.tell(Event::ClientGone { job: id });
+        }
     }
 
     fn adopt(&mut self, adopted: Adopted<C::Parcel>) {
--- a/crates/node/tests/moves/mod.rs
+++ b/crates/node/tests/moves/mod.rs
@@ -1,6 +1,12 @@
 //! The dispatch task's narrow moments: words that cross, jobs on their way between two processes of a node, and
 //! settings of other customers.
 
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::os::unix::net::UnixStream;
+
+use curlewusher_operation::frame::{Decoder, Frame};
+
 use crate::common::*;
 
 /// Asks until it is so.
@@ -90,3 +96,101 @@
     node.tell("c", names[other], r#""state":"done","result":"x""#);
     assert_eq!(answer(client).status(), 200);
 }
+
+/// The younger process of a node, as the test plays it: it has taken over, and answers what is moved to it when
+/// the test says so. The descriptors that come to it are closed.
+struct Younger {
+    stream: UnixStream,
+    decoder: Decoder,
+}
+
+impl Younger {
+    fn takes_over(node: &Node) -> Younger {
+        let place = format!("{}/curlewusher-127.0.0.1-0.sock", node.folder());
+        let stream = UnixStream::connect(place).expect("it sits");
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        let mut younger = Younger { stream, decoder: Decoder::default() };
+        younger.say(0, Frame::Hello { node: "n0".into(), listen: "127.0.0.1:0".into() });
+        // The byte that carries the listener.
+        younger.stream.read_exact(&mut [0]).expect("a welcome");
+        assert!(matches!(younger.hears(), (_, Frame::Welcome(_))));
+        younger.say(1, Frame::TakeOver);
+        assert!(matches!(younger.hears(), (1, Frame::Yours(_))));
+        younger
+    }
+
+    fn say(&mut self, seq: u64, frame: Frame) {
+        self.stream.write_all(&frame.encode(seq).expect("short")).expect("it reads");
+    }
+
+    fn hears(&mut self) -> (u64, Frame) {
+        loop {
+            if let Some(said) = self.decoder.take().expect("a frame") {
+                return said;
+            }
+            let mut piece = [0; 4096];
+            let came = self.stream.read(&mut piece).expect("a frame");
+            assert!(came > 0, "the link is lost");
+            self.decoder.feed(&piece[..came]);
+        }
+    }
+
+    /// The number of the next job that is to move here.
+    fn moved(&mut self) -> u64 {
+        let (seq, frame) = self.hears();
+        assert!(matches!(frame, Frame::Move(_)), "{frame:?}");
+        seq
+    }
+}
+
+/// The client leaves; returns once the node has dropped its connection.
+fn leaves(mut client: TcpStream) {
+    client.shutdown(Shutdown::Write).expect("it is open");
+    assert_eq!(client.read_to_end(&mut Vec::new()).unwrap_or(0), 0, "no answer");
+}
+
+/// With a place for processes of one node to meet.
+fn patient(discovery: SocketAddr, known: &[String]) -> String {
+    operated(discovery, known).replace(r#""connectTimeoutUs":500000"#, r#""connectTimeoutUs":6000000"#)
+}
+
+#[test]
+fn a_client_that_leaves_while_its_job_moves_is_gone_and_what_is_out_is_withdrawn() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::configured(&[("s-1", &hop)], patient);
+    let client = write(node.address, &job("r1", "order", 60.0, ""));
+    hop.request().answer("202 Accepted");
+    until(|| node.count("curlewusher_delivery_attempts_accepted_total") == 1);
+    let mut younger = Younger::takes_over(&node);
+    let seq = younger.moved();
+    leaves(client);
+    younger.say(seq, Frame::Moved(false));
+    let withdrawal = hop.request();
+    assert_eq!(withdrawal.message.start, "DELETE /jobs/r1 HTTP/1.1");
+    withdrawal.answer("200 OK");
+    drop(younger);
+    node.says_of("the other process is gone");
+    assert_eq!(node.count("curlewusher_clients_gone_total"), 1);
+}
+
+#[test]
+fn a_client_that_leaves_while_its_job_moves_is_gone_and_the_job_not_sent_on() {
+    let hop = Server::start();
+    let (node, watch, _discovery) = Node::configured(&[], patient);
+    let client = write(node.address, &job("r1", "order", 9.0, ""));
+    until(|| node.count("curlewusher_jobs_taken_total") == 1);
+    let mut younger = Younger::takes_over(&node);
+    let seq = younger.moved();
+    leaves(client);
+    younger.say(seq, Frame::Moved(false));
+    drop(younger);
+    node.says_of("the other process is gone");
+    watch.line(&list(43, false, &[endpoint("s-1", hop.address, "in_service")]));
+    let client = write(node.address, &job("r2", "view", 9.0, ""));
+    let got = hop.request();
+    assert_eq!(got.message.header("x-request-id"), Some("r2"), "sent on for nobody");
+    got.answer("202 Accepted");
+    node.tell("r2", "s-1", r#""state":"done","result":"x""#);
+    assert_eq!(answer(client).status(), 200);
+    assert!(!hop.has_more(), "sent on for nobody");
+}
