Open jobs no longer use up the room for the notices that end them

Need: each open job reserves a place in the dispatch task's queue for the news that its client has gone. The queue had 4096 places whatever the site allows; with limits.sockets of 8300 or more, 4096 jobs can be open at once (three quarters of two thirds of the descriptors). Then every other notice waited for a place: call-backs, ends of attempts, lists, SIGTERM. Jobs end by those alone, so nothing moved until clients left or deadlines came.

Change: the queue has its 4096 places beside one for each connection that the node may have. A place costs nothing until it is used.

Measured: moves::open_jobs_leave_room_for_what_ends_them_however_many_a_site_allows has 4160 jobs open at one node; with the old queue no more than 4096 are ever taken and the test ends there. The test process needs 4400 descriptors, to which it raises its own limit.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -22,9 +22,14 @@
 use crate::counters::{Counter, Counters};
 use crate::logs::DISPATCH;
 
-/// Room in the queue. Each open job holds one place for the news that its client has gone, and connections
-/// are far fewer than this.
-pub const QUEUE_ROOM: usize = 4096;
+/// Room in the queue, beside the place that each open job holds for the news that its client has gone: were those
+/// of one room, jobs could fill it, and nothing that ends a job would reach the task any more.
+const QUEUE_ROOM: usize = 4096;
+
+/// The queue of a node that has at most so many connections, each with one job.
+pub fn queue<P>(connections: usize) -> (Queue<P>, mpsc::Receiver<Notice<P>>) {
+    mpsc::channel(QUEUE_ROOM + connections)
+}
 
 /// Microseconds since the Unix epoch that never go back: read once from the system, then counted on.
 #[derive(Clone, Copy)]
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -18,7 +18,7 @@
 use crate::config::{Config, ConfigError, Told};
 use crate::console::{self, ConsoleError};
 use crate::counters::{Counter, Counters};
-use crate::dispatch::{Clock, Dispatch, Notice, QUEUE_ROOM};
+use crate::dispatch::{self, Clock, Dispatch, Notice};
 use crate::handover::Peer;
 use crate::lifecycle::{DRAIN_AT_LEAST, DRAIN_AT_MOST, LAST_ANSWERS, Lifecycle, Move};
 use crate::logs::{Logs, NODE};
@@ -111,7 +111,6 @@
 
     let longest = site.decisions.classes.iter().map(|class| Duration::from_micros(class.give_up)).max();
     let answered_within = DRAIN_AT_MOST.min(longest.unwrap_or_default()) + DRAIN_AT_LEAST - LAST_ANSWERS;
-    let (queue, notices) = mpsc::channel(QUEUE_ROOM);
     let (ask, asked) = mpsc::channel(1);
     let (move_to, moved) = watch::channel(discovery);
     let (there, is_there) = watch::channel(false);
@@ -120,6 +119,7 @@
     let all = limits.sockets.saturating_sub(spared).max(LEAST_SOCKETS);
     let half =
         (limits.sockets / 2).saturating_sub(spared / 2 + console::SOCKETS / 2).clamp(LEAST_SOCKETS, all);
+    let (queue, notices) = dispatch::queue(all);
     let peer = Peer::default();
     let next_hops = NextHops::new(
         queue.clone(),
--- a/crates/node/tests/moves/mod.rs
+++ b/crates/node/tests/moves/mod.rs
@@ -10,7 +10,7 @@
 use crate::common::*;
 
 /// Asks until it is so.
-fn until(so: impl Fn() -> bool) {
+fn until(mut so: impl FnMut() -> bool) {
     let since = std::time::Instant::now();
     while !so() {
         assert!(since.elapsed() < LONG, "it never is");
@@ -194,3 +194,31 @@
     assert_eq!(answer(client).status(), 200);
     assert!(!hop.has_more(), "sent on for nobody");
 }
+
+#[test]
+fn open_jobs_leave_room_for_what_ends_them_however_many_a_site_allows() {
+    // More than the queue has room for besides.
+    const JOBS: usize = 4160;
+    use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+    let most = getrlimit(Resource::Nofile).maximum;
+    setrlimit(Resource::Nofile, Rlimit { current: most, maximum: most }).expect("its own to raise");
+    // They all wait: no next hop is there, and nobody says of one.
+    let nowhere = "127.0.0.1:1".parse().expect("an address");
+    let text = config(nowhere, &[]).replace(r#""sockets":1024"#, r#""sockets":16384"#);
+    let node = Node::start_within(&text.replace("9000000", "900000000"), 5000);
+    let mut clients: Vec<_> =
+        (0..JOBS).map(|n| write(node.address, &job(&n.to_string(), "order", 900.0, ""))).collect();
+    // On a busy machine that takes long, but it never rests.
+    let mut taken = 0;
+    while taken < JOBS as u64 {
+        let so_far = taken;
+        until(|| {
+            taken = node.count("curlewusher_jobs_taken_total");
+            taken > so_far
+        });
+    }
+    // A call-back is heard, and so is the end of a client.
+    node.tell("0", "s-1", r#""state":"started""#);
+    clients.pop();
+    until(|| node.count("curlewusher_clients_gone_total") == 1);
+}
