Odd settings of a site no longer keep a node from serving, and bad ones are named as written

Need: sites are other customers'. limits.connectTimeoutUs was taken as 0 where it is missing or 0: a connection that is not up at once counted as refused, and beyond loopback nothing could be sent. A span of 2^64-1 for 'without end' ran over in sums (objectiveUs, connectTimeoutUs), and limits.sockets of that size ended the start in a panic. askWithinUs of 0 had discovery asked without a pause. A value that cannot be worked with was named by the library's word for it ('settings.settings: max_attempts is zero'), without what would be right.

Change: usual spans where the site names none, no span over a year, no more descriptors than a process can have, a least pause for asking, and the field as the platform writes it, with the remedy.

Measured: without the change moves::odd_settings_of_a_site_keep_no_job_from_being_served fails for three settings (objectiveUs, connectTimeoutUs and sockets without end), and a_setting_that_cannot_be_worked_with_is_named_... for the words. On loopback a connection is up before a wait of 0 is over, so that a missing connectTimeoutUs is held by what check prints.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -46,6 +46,8 @@
 }
 
 const LEAST_SOCKETS: usize = 64;
+/// No process has more descriptors, whatever it is allowed.
+const MOST_SOCKETS: usize = 1 << 20;
 
 /// What a node may use.
 #[derive(Clone, Copy, Debug, Deserialize)]
@@ -168,7 +170,7 @@
                 None => None,
             },
             seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?,
-            limits: file.limits,
+            limits: Limits { sockets: file.limits.sockets.min(MOST_SOCKETS) },
             known: file.known,
             site,
             operator,
--- a/crates/node/tests/moves/mod.rs
+++ b/crates/node/tests/moves/mod.rs
@@ -222,3 +222,80 @@
     clients.pop();
     until(|| node.count("curlewusher_clients_gone_total") == 1);
 }
+
+#[test]
+fn odd_settings_of_a_site_keep_no_job_from_being_served() {
+    let end = u64::MAX;
+    for (was, is) in [
+        // Nothing could be sent by a connection that is to be up at once.
+        (r#""connectTimeoutUs":500000,"#, ""),
+        (r#""connectTimeoutUs":500000"#, r#""connectTimeoutUs":0"#),
+        (r#","keepaliveUs":120000000"#, ""),
+        (r#""keepaliveUs":120000000"#, r#""keepaliveUs":0"#),
+        (r#""maxRetryAfterUs":2000000"#, r#""maxRetryAfterUs":0"#),
+        (r#""sendCap":3"#, r#""sendCap":1"#),
+        (r#""cancel":true"#, r#""cancel":false"#),
+        (r#""askWithinUs":10000000"#, r#""askWithinUs":0"#),
+        (r#""fallUs":1000000"#, r#""fallUs":0"#),
+        (r#""warmUpUs":1000000"#, r#""warmUpUs":0"#),
+        (r#""dedupWindowUs":40000000"#, r#""dedupWindowUs":0"#),
+        // What stands for 'without end'.
+        (r#""objectiveUs":9000000"#, &format!(r#""objectiveUs":{end}"#)),
+        (r#""giveUpUs":9000000"#, &format!(r#""giveUpUs":{end}"#)),
+        (r#""dedupWindowUs":40000000"#, &format!(r#""dedupWindowUs":{end}"#)),
+        (r#""connectTimeoutUs":500000"#, &format!(r#""connectTimeoutUs":{end}"#)),
+        (r#""keepaliveUs":120000000"#, &format!(r#""keepaliveUs":{end}"#)),
+        (r#""maxRetryAfterUs":2000000"#, &format!(r#""maxRetryAfterUs":{end}"#)),
+        (r#""askWithinUs":10000000"#, &format!(r#""askWithinUs":{end}"#)),
+        (r#""fallUs":1000000"#, &format!(r#""fallUs":{end}"#)),
+        (r#""warmUpUs":1000000"#, &format!(r#""warmUpUs":{end}"#)),
+        (r#""sockets":1024"#, &format!(r#""sockets":{end}"#)),
+    ] {
+        let odd = |discovery, known: &[String]| {
+            let text = config(discovery, known);
+            assert!(text.contains(was), "{was}");
+            text.replace(was, is)
+        };
+        let hop = Server::start();
+        let (node, _watch, _discovery) = Node::configured(&[("s-1", &hop)], odd);
+        let request = job("r1", "register", 8.0, "Idempotency-Key: k9\r\n");
+        let client = write(node.address, &request);
+        let got = hop.request();
+        got.answer("202 Accepted");
+        node.tell("r1", "s-1", r#""state":"done","result":"x""#);
+        assert_eq!(answer(client).status(), 200, "{was} {is}");
+    }
+}
+
+#[test]
+fn a_setting_that_cannot_be_worked_with_is_named_as_it_is_written_with_what_would_be_right() {
+    let good = config("127.0.0.1:1".parse().expect("an address"), &[]);
+    for (was, is, said) in [
+        (r#""sendCap":3"#, r#""sendCap":0"#, "settings.limits.sendCap: max_attempts is zero; give 1 or more"),
+        (r#""giveUpUs":9000000"#, r#""giveUpUs":0"#, "settings.services.giveUpUs: "),
+        (r#""balancers":1"#, r#""balancers":0"#, "settings.balancers: nodes is zero; give "),
+        (r#""coldShare":0.2"#, r#""coldShare":2"#, "settings.rules.coldShare: "),
+        (r#""overloadFactor":3.0"#, r#""overloadFactor":-1"#, "settings.rules.overloadFactor: "),
+        (r#""discovery":"subscribe""#, r#""discovery":"ask""#, "settings.discovery is neither automatic nor"),
+    ] {
+        assert!(good.contains(was), "{was}");
+        let node = Node::spawn(&good.replace(was, is), 1024).0.wait_with_output().expect("it ends");
+        let line = String::from_utf8(node.stderr).expect("text");
+        assert_eq!(node.status.code(), Some(2), "{line}");
+        assert!(line.contains(said) && line.lines().count() == 1, "{said}: {line}");
+    }
+}
+
+#[test]
+fn a_site_that_does_not_say_how_long_connections_take_has_usual_ones() {
+    let text = config("127.0.0.1:1".parse().expect("an address"), &[]);
+    let written = r#","connectTimeoutUs":500000,"keepaliveUs":120000000"#;
+    assert!(text.contains(written));
+    let file = Node::file(&text.replace(written, ""));
+    let mut check = std::process::Command::new(env!("CARGO_BIN_EXE_curlewusher"));
+    let said = check.arg("check").env("RELAY_CONFIG", file).output().expect("it starts");
+    let said = String::from_utf8(said.stdout).expect("text");
+    for line in ["connectTimeoutUs = 500000  # default", "keepaliveUs = 1000000  # default"] {
+        assert!(said.contains(&format!("settings.limits.{line}")), "{said}");
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -59,6 +59,24 @@
     1.0
 }
 
+/// No span of time is longer than a year, in microseconds: whatever stands for 'without end' must not run over where
+/// a moment is reckoned from it.
+const LONGEST: Micros = 365 * 86_400 * 1_000_000;
+/// A connection is up within this where the settings do not say, or say 0, by which nothing could ever be sent.
+const USUAL_CONNECT: Micros = 500_000;
+/// A connection stays open this long at least where the settings do not say.
+const USUAL_KEEPALIVE: Micros = 1_000_000;
+/// Discovery is asked no more often than by this, however soon silence counts as being told.
+const LEAST_ASK: Micros = 100_000;
+
+fn usual_connect() -> Micros {
+    USUAL_CONNECT
+}
+
+fn usual_keepalive() -> Micros {
+    USUAL_KEEPALIVE
+}
+
 #[derive(Deserialize, Serialize)]
 #[serde(rename_all = "camelCase")]
 struct Customer {
@@ -76,9 +94,9 @@
     retry_after: bool,
     #[serde(default)]
     max_retry_after_us: Micros,
-    #[serde(default)]
+    #[serde(default = "usual_connect")]
     connect_timeout_us: Micros,
-    #[serde(default)]
+    #[serde(default = "usual_keepalive")]
     keepalive_us: Micros,
 }
 
@@ -149,12 +167,13 @@
 pub fn read_from<'a, D: serde::Deserializer<'a>>(source: D) -> Result<Site, String> {
     let wire: Wire = serde_path_to_error::deserialize(source).map_err(|e| e.to_string())?;
     let info = &wire.family_info;
+    let max_retry_after = wire.limits.max_retry_after_us.min(LONGEST);
     let class = |(i, s): (usize, &Service)| -> Result<Class, String> {
         Ok(Class {
             effect: effect(s)?,
-            aim: s.objective_us,
+            aim: s.objective_us.min(LONGEST),
             stretch: s.aim_stretch.or(info.class_stretch.get(i).copied()).unwrap_or(0.0),
-            give_up: s.give_up_us,
+            give_up: s.give_up_us.min(LONGEST),
             worth: s.worth,
             kind: info.class_kind.get(i).and_then(|k| u32::try_from(*k).ok()).map(KindId),
         })
@@ -171,7 +190,7 @@
             "automatic" => false,
             _ => return Err("discovery is neither automatic nor subscribe".into()),
         },
-        ask_within: wire.rules.ask_within_us,
+        ask_within: wire.rules.ask_within_us.clamp(LEAST_ASK, LONGEST),
         // Sizes that change with the load, or are the same for all, tell nothing of slots.
         sizes_told: matches!(wire.weights.as_str(), "nominal" | "rough"),
         tells_start: info.tells_start,
@@ -182,25 +201,50 @@
         may_tell: wire.limits.may_tell,
         tell_price: wire.prices.peer,
         max_attempts: wire.limits.send_cap,
-        max_advice: if wire.limits.retry_after { wire.limits.max_retry_after_us } else { 0 },
+        max_advice: if wire.limits.retry_after { max_retry_after } else { 0 },
         cross_zone_price: wire.prices.cross_zone,
         cold_share: wire.rules.cold_share,
-        warm_up: wire.rules.warm_up_us,
+        warm_up: wire.rules.warm_up_us.min(LONGEST),
         overload_factor: wire.rules.overload_factor,
-        fall_window: wire.rules.fall_us,
+        fall_window: wire.rules.fall_us.min(LONGEST),
     };
-    settings.check().map_err(|e| e.to_string())?;
+    settings.check().map_err(|e| {
+        let (field, remedy) = written(e.field);
+        format!("{field}: {} {}; {remedy}", e.field, e.problem)
+    })?;
     Ok(Site {
         decisions: settings,
         classes: wire.services.into_iter().map(|s| s.name).collect(),
         zones: wire.localities,
         kinds: wire.kinds,
-        connect_timeout: wire.limits.connect_timeout_us,
-        keepalive: wire.limits.keepalive_us,
-        max_retry_after: wire.limits.max_retry_after_us,
+        connect_timeout: match wire.limits.connect_timeout_us {
+            0 => USUAL_CONNECT,
+            given => given.min(LONGEST),
+        },
+        keepalive: wire.limits.keepalive_us.min(LONGEST),
+        max_retry_after,
     })
 }
 
+/// The name under which the platform writes a field of the decisions' settings, and what would be right there.
+fn written(field: &str) -> (&str, &'static str) {
+    match field {
+        "classes" => ("services", "name one class of requests at least"),
+        "classes.stretch" => ("services.aimStretch", "give 0 or more, or familyInfo.classStretch so"),
+        "classes.worth" => ("services.worth", "give 0 or more"),
+        "classes.give_up" => ("services.giveUpUs", "give the client's wait in microseconds"),
+        "over_quota_worth" => ("overShareWorth", "give a number from 0 to 1"),
+        "nodes" => ("balancers", "give the number of nodes, this one included"),
+        "max_attempts" => ("limits.sendCap", "give 1 or more"),
+        "tenant_quotas" => ("customers.quotaPerS", "give 0 or more"),
+        "cross_zone_price" => ("prices.crossZone", "give 0 or more"),
+        "tell_price" => ("prices.peer", "give 0 or more"),
+        "cold_share" => ("rules.coldShare", "give a number from 0 to 1"),
+        "overload_factor" => ("rules.overloadFactor", "give 0 or more"),
+        other => (other, "give what the platform's page says of it"),
+    }
+}
+
 fn effect(s: &Service) -> Result<Effect, String> {
     let scope = match s.key_scope.as_str() {
         "zone" => KeyScope::Zone,
@@ -210,7 +254,7 @@
     };
     match s.idempotency.as_str() {
         "safe" => Ok(Effect::Safe),
-        "keyed" => Ok(Effect::Keyed { scope, window: s.dedup_window_us }),
+        "keyed" => Ok(Effect::Keyed { scope, window: s.dedup_window_us.min(LONGEST) }),
         "unsafe" => Ok(Effect::Unsafe),
         _ => Err("services.idempotency is none of safe, keyed, unsafe".into()),
     }
