Of two processes never do both hold a job whose move breaks off

Need: a process that did not hear within 2 s that a moved job is held there gave the link up and took the job back; so did every move that waited when the link was lost for another reason. The other process, late or stopped for a moment, read the move and held the job as well: an unsafe one in line was sent by both. move_job() named that ('both might hold it') and did nothing about it; waiting requests were dropped with answers unread in the socket.

Change: the answer to a move decides. The one that answers does nothing for the job, and only keeps its id, until that answer is written; the one that asked reads all that was written before it takes the job back. A socket that was shut down takes no more, so that no time is left between both.

Measured: moves::of_two_processes_never_do_both_hold_a_job_whose_move_breaks_off stands between two real processes and shuts the socket for the answer before it passes the move on. Without the change the younger one sends the job out; with it the elder alone does.

--- a/crates/core/src/heritage.rs
+++ b/crates/core/src/heritage.rs
@@ -206,13 +206,16 @@
         })
     }
 
-    /// Takes a job on that another process of this node let go, under a number of this one's. False where it cannot be one.
-    pub fn adopt(&mut self, now: Micros, id: JobId, moved: &MovedJob, out: &mut Vec<Action>) -> bool {
-        let sound = moved.class < self.settings.classes.len()
+    /// Whether that can be a job here.
+    pub fn knows(&self, moved: &MovedJob) -> bool {
+        moved.class < self.settings.classes.len()
             && [moved.work, moved.slots, moved.value].iter().all(|v| v.is_finite() && *v >= 0.0)
             && moved.attempts.len() <= MAX_ATTEMPTS
-            && !self.jobs.contains_key(&id);
-        if !sound {
+    }
+
+    /// Takes a job on that another process of this node let go, under a number of this one's. False where it cannot be one.
+    pub fn adopt(&mut self, now: Micros, id: JobId, moved: &MovedJob, out: &mut Vec<Action>) -> bool {
+        if !self.knows(moved) || self.jobs.contains_key(&id) {
             return false;
         }
         let offer = Offer {
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -157,7 +157,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Holder {
     Here,
-    /// It is on its way to the other process.
+    /// It is on its way to the other process or from there.
     OnItsWay,
     /// Not this one.
     Elsewhere,
@@ -204,6 +204,8 @@
     MoveEnded(Ticket, bool),
     /// A job comes from the other process.
     Adopted(Adopted<P>),
+    /// Whether the other process has been told that it is held here; else the job is that one's.
+    Arrived(Ticket, bool),
     Accepted(AttemptKey),
     Ended(AttemptKey, Outcome),
     GivenUp(AttemptKey),
@@ -273,6 +275,9 @@
     attempts: Vec<Attempt>,
 }
 
+/// A job that the other process is about to let go: its id, itself, and who waits for its answer.
+type Coming<P> = (Rc<str>, Moved, P, oneshot::Sender<Answer>);
+
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Wake,
@@ -294,6 +299,9 @@
     ids: HashMap<Rc<str>, JobId>,
     /// Jobs on their way to the other process of this node.
     leaving: HashMap<JobId, (Moved, Held<C::Parcel>)>,
+    /// Jobs on their way from there, until the other process has been told that they are held here. Nothing is done for
+    /// them before that: it may take them back.
+    coming: HashMap<JobId, Coming<C::Parcel>>,
     hops: HashMap<WorkerId, (Rc<str>, SocketAddr)>,
     /// Next hops that operators have taken out.
     bans: Bans,
@@ -325,6 +333,7 @@
             held: HashMap::new(),
             ids: HashMap::new(),
             leaving: HashMap::new(),
+            coming: HashMap::new(),
             hops: HashMap::new(),
             bans: Bans::default(),
             starts: HashMap::new(),
@@ -426,7 +435,8 @@
             Notice::Holds { id, held } => _ = held.send(self.holder(&id) != Holder::Elsewhere),
             Notice::Move(ticket, to) => self.let_go(&ticket, to),
             Notice::MoveEnded(ticket, held) => self.move_ended(&ticket, held),
-            Notice::Adopted(adopted) => self.adopt(adopted),
+            Notice::Adopted(adopted) => self.expect(adopted),
+            Notice::Arrived(ticket, ours) => self.arrived(&ticket, ours),
             Notice::Accepted(key) => {
                 if let Some(attempt) = self.attempt(key) {
                     attempt.accepted = true;
@@ -452,7 +462,7 @@
 
     fn holder(&self, id: &str) -> Holder {
         match self.ids.get(id) {
-            Some(job) if self.leaving.contains_key(job) => Holder::OnItsWay,
+            Some(job) if self.leaving.contains_key(job) || self.coming.contains_key(job) => Holder::OnItsWay,
             Some(_) => Holder::Here,
             None => Holder::Elsewhere,
         }
@@ -518,17 +528,33 @@
         }
     }
 
-    fn adopt(&mut self, adopted: Adopted<C::Parcel>) {
+    /// A job is about to come from the other process: its id is taken here from now on.
+    fn expect(&mut self, adopted: Adopted<C::Parcel>) {
         let Adopted { moved, parcel, ticket, answer, held } = adopted;
-        let (id, name) = (JobId(self.next_job), Rc::<str>::from(moved.id.as_str()));
-        let now = self.clock.now();
-        let (parcel, mut attempts) = (Rc::new(parcel), Vec::new());
-        if self.ids.contains_key(&name) || !self.dispatcher.adopt(now, id, &moved.job, &mut self.actions) {
+        let name = Rc::<str>::from(moved.id.as_str());
+        if self.ids.contains_key(&name) || !self.dispatcher.knows(&moved.job) {
             let _ = held.send(false);
             return;
         }
+        let id = JobId(self.next_job);
         self.next_job += 1;
         ticket.0.set(Some(id));
+        self.ids.insert(name.clone(), id);
+        self.coming.insert(id, (name, moved, parcel, answer));
+        let _ = held.send(true);
+    }
+
+    fn arrived(&mut self, ticket: &Ticket, ours: bool) {
+        let Some((id, coming)) = ticket.0.get().and_then(|id| Some((id, self.coming.remove(&id)?))) else {
+            return;
+        };
+        let (name, moved, parcel, answer) = coming;
+        let now = self.clock.now();
+        if !ours || !self.dispatcher.adopt(now, id, &moved.job, &mut self.actions) {
+            self.ids.remove(&name);
+            return;
+        }
+        let (parcel, mut attempts) = (Rc::new(parcel), Vec::new());
         for (a, number) in moved.attempts.into_iter().zip(0..) {
             let key = AttemptKey { job: id, attempt: number };
             let mut stage = Stage::Over;
@@ -554,11 +580,9 @@
         }
         debug!(target: DISPATCH, request_id = %name, "comes from the other process");
         self.counters.add(Counter::MovedHere);
-        self.ids.insert(name.clone(), id);
         let class = moved.job.class();
         let answer = Some(answer);
         self.held.insert(id, Held { id: name, class, taken: moved.taken, parcel, answer, attempts });
-        let _ = held.send(true);
         self.carry_out();
     }
 
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -550,6 +550,9 @@
         client: OwnedFd,
         /// Whether it is held.
         held: oneshot::Sender<bool>,
+        /// What was said has gone out, and counts: the other process will have read it, or is no more. Where this is
+        /// dropped, it has not, and the job is the other's.
+        said: oneshot::Receiver<()>,
     },
     /// A withdrawal that is this process's from now on.
     Withdraw {
@@ -572,10 +575,17 @@
 /// What waits to be written.
 #[derive(Default)]
 struct Unwritten {
-    frames: VecDeque<(Bytes, Option<Rc<OwnedFd>>)>,
+    frames: VecDeque<Outgoing>,
     bytes: usize,
 }
 
+struct Outgoing {
+    bytes: Bytes,
+    fd: Option<Rc<OwnedFd>>,
+    /// Who is to know once it is written.
+    written: Option<oneshot::Sender<()>>,
+}
+
 struct Waiting {
     answer: oneshot::Sender<Frame>,
     /// The id that is claimed by it.
@@ -621,6 +631,7 @@
                 warn!(target: NODE, "the link to the other process is lost: {problem}");
             }
             reader.close();
+            reader.0.waiting.borrow_mut().clear();
             if let Some(last) = last {
                 last.send(Asked::Lost);
             }
@@ -640,12 +651,12 @@
         let _ = self.0.up.subscribe().wait_for(|up| !up).await;
     }
 
-    /// Gives the link up: both ends lose it, and whatever waits for an answer goes without.
+    /// Gives the link up: both ends lose it. Whatever waits for an answer goes without one that was not written before:
+    /// what was is read yet, since the other process goes by it.
     pub fn close(&self) {
         if !self.0.up.send_replace(false) {
             return;
         }
-        self.0.waiting.borrow_mut().clear();
         *self.0.unwritten.borrow_mut() = Unwritten::default();
         // One that the other end has closed already cannot be shut.
         let _ = shutdown(&self.0.stream, Shutdown::Both);
@@ -696,10 +707,20 @@
     }
 
     /// Moves a job to the other process, with its client's socket. Whether it is held there; where that is not said within
-    /// 2 s the link is given up, since both might hold it.
+    /// 2 s the link is given up, after which it cannot be said any more: never do both hold it.
     pub async fn move_job(&self, job: Bytes, client: OwnedFd) -> bool {
-        match self.request_with(Frame::Move(job), None, Some(Rc::new(client)), MOVE_TIME).await {
-            Some(Frame::Moved(held)) => held,
+        let Some((_forget, mut from)) = self.ask_for(Frame::Move(job), None, Some(Rc::new(client))) else {
+            return false;
+        };
+        let said = match timeout(MOVE_TIME, &mut from).await {
+            Ok(said) => said,
+            Err(_) => {
+                self.close();
+                from.await
+            }
+        };
+        match said {
+            Ok(Frame::Moved(held)) => held,
             _ => {
                 self.close();
                 false
@@ -734,23 +755,24 @@
     }
 
     async fn request(&self, frame: Frame, claim: Option<Rc<str>>, within: Duration) -> Option<Frame> {
-        self.request_with(frame, claim, None, within).await
+        let (_forget, from) = self.ask_for(frame, claim, None)?;
+        timeout(within, from).await.ok()?.ok()
     }
 
-    async fn request_with(
+    /// Where the answer comes, for as long as the first part is kept.
+    fn ask_for(
         &self,
         frame: Frame,
         claim: Option<Rc<str>>,
         fd: Option<Rc<OwnedFd>>,
-        within: Duration,
-    ) -> Option<Frame> {
+    ) -> Option<(Forget<'_>, oneshot::Receiver<Frame>)> {
         let seq = self.seq();
         let bytes = frame.encode(seq).ok().filter(|_| self.up())?;
         let (answer, from) = oneshot::channel();
         self.0.waiting.borrow_mut().insert(seq, Waiting { answer, claim });
-        let _forget = Forget { ends: &self.0, seq };
-        self.push(bytes, fd);
-        timeout(within, from).await.ok()?.ok()
+        let forget = Forget { ends: &self.0, seq };
+        self.push(Outgoing { bytes, fd, written: None });
+        Some((forget, from))
     }
 
     fn tell(&self, frame: &Frame) {
@@ -758,20 +780,24 @@
     }
 
     fn answer(&self, seq: u64, frame: Frame) {
+        self.answer_and(seq, frame, None);
+    }
+
+    fn answer_and(&self, seq: u64, frame: Frame, written: Option<oneshot::Sender<()>>) {
         match frame.encode(seq) {
-            Ok(bytes) => self.push(bytes, None),
+            Ok(bytes) => self.push(Outgoing { bytes, fd: None, written }),
             Err(problem) => warn!(target: NODE, "the other process is not told: {problem}"),
         }
     }
 
     /// A process that reads too little is as good as gone.
-    fn push(&self, bytes: Bytes, fd: Option<Rc<OwnedFd>>) {
+    fn push(&self, outgoing: Outgoing) {
         if !self.up() {
             return;
         }
         let mut unwritten = self.0.unwritten.borrow_mut();
-        unwritten.bytes += bytes.len();
-        unwritten.frames.push_back((bytes, fd));
+        unwritten.bytes += outgoing.bytes.len();
+        unwritten.frames.push_back(outgoing);
         let full = unwritten.bytes > MOST_UNWRITTEN;
         drop(unwritten);
         if full {
@@ -783,7 +809,8 @@
 
     async fn write(self) {
         while self.up() {
-            let next = self.0.unwritten.borrow().frames.front().cloned();
+            let next =
+                self.0.unwritten.borrow().frames.front().map(|next| (next.bytes.clone(), next.fd.clone()));
             let Some((mut frame, fd)) = next else {
                 self.0.written.notify_waiters();
                 self.0.more.notified().await;
@@ -802,8 +829,10 @@
             }
             let mut unwritten = self.0.unwritten.borrow_mut();
             // Nothing is left of it where the link was lost meanwhile.
-            if unwritten.frames.pop_front().is_some() {
+            if let Some(outgoing) = unwritten.frames.pop_front() {
                 unwritten.bytes -= length;
+                // Who does not listen has ended.
+                _ = outgoing.written.map(|written| written.send(()));
             }
         }
     }
@@ -813,6 +842,10 @@
         let mut fds = Fds::new();
         loop {
             while let Some((seq, frame)) = decoder.take()? {
+                if !self.up() && !frame.is_answer() {
+                    // It cannot be answered any more, and the other process goes by that.
+                    continue;
+                }
                 self.hear(seq, frame, &mut fds, asked)?;
             }
             match read_piece(&self.0.stream, &mut decoder, &mut fds).await {
@@ -851,7 +884,15 @@
             ),
             Frame::Move(job) => {
                 let client = fds.pop_front().ok_or(HandoverError::OutOfTurn)?;
-                self.ask(seq, asked, |held| Asked::Move { job, client, held }, |_, held| Frame::Moved(held));
+                let (held, holds) = oneshot::channel();
+                let (written, said) = oneshot::channel();
+                self.pass(asked, Asked::Move { job, client, held, said });
+                let link = self.clone();
+                spawn_local(async move {
+                    if let Ok(held) = holds.await {
+                        link.answer_and(seq, Frame::Moved(held), Some(written));
+                    }
+                });
             }
             Frame::Withdraw { to, id } => self.pass(asked, Asked::Withdraw { to, id }),
             Frame::GiveBack => self.pass(asked, Asked::GiveBack),
--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -595,8 +595,15 @@
         moving.await.ok().flatten().unwrap_or(false)
     }
 
-    /// Takes a job on that the other process of this node has moved here, and answers its client.
-    pub async fn adopt(self, job: Bytes, client: OwnedFd, held: oneshot::Sender<bool>) {
+    /// Takes a job on that the other process of this node has moved here, and answers its client. `said`: the other process
+    /// will have read that it is held here.
+    pub async fn adopt(
+        self,
+        job: Bytes,
+        client: OwnedFd,
+        held: oneshot::Sender<bool>,
+        said: oneshot::Receiver<()>,
+    ) {
         let stream = std::net::TcpStream::from(client);
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         // Unanswered, it stays where it was.
@@ -615,6 +622,11 @@
             return;
         }
         open.gone = Some((place_for_gone, ticket.clone()));
+        let ours = said.await.is_ok();
+        if self.shared.queue.send(Notice::Arrived(ticket.clone(), ours)).await.is_err() || !ours {
+            open.gone = None;
+            return;
+        }
         let mut pause = Duration::ZERO;
         let answer = loop {
             tokio::select! {
--- a/crates/node/src/upgrade.rs
+++ b/crates/node/src/upgrade.rs
@@ -337,8 +337,8 @@
                 let operations = self.parts.operations.clone();
                 spawn_local(async move { verdict.send(operations.follow(&call).await) });
             }
-            Asked::Move { job, client, held } => {
-                spawn_local(self.parts.sender_side.clone().adopt(job, client, held));
+            Asked::Move { job, client, held, said } => {
+                spawn_local(self.parts.sender_side.clone().adopt(job, client, held, said));
             }
             Asked::Withdraw { to, id } => self.parts.next_hops.take_over_withdrawal(to, id),
             Asked::TakeOver { heritage } => {
--- a/crates/node/tests/moves/mod.rs
+++ b/crates/node/tests/moves/mod.rs
@@ -1,11 +1,14 @@
 //! The dispatch task's narrow moments: words that cross, jobs on their way between two processes of a node, and
 //! settings of other customers.
 
-use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::os::unix::net::UnixStream;
+use std::io::{IoSlice, Read, Write};
+use std::mem::MaybeUninit;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsFd;
+use std::os::unix::net::{UnixListener, UnixStream};
 
 use curlewusher_operation::frame::{Decoder, Frame};
+use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags, sendmsg};
 
 use crate::common::*;
 
@@ -97,19 +100,23 @@
     assert_eq!(answer(client).status(), 200);
 }
 
-/// The younger process of a node, as the test plays it: it has taken over, and answers what is moved to it when
-/// the test says so. The descriptors that come to it are closed.
-struct Younger {
+/// The other process of a node, as the test plays it: it answers what is moved to it when the test says so. The
+/// descriptors that come to it are closed.
+struct Other {
     stream: UnixStream,
     decoder: Decoder,
 }
 
-impl Younger {
-    fn takes_over(node: &Node) -> Younger {
-        let place = format!("{}/curlewusher-127.0.0.1-0.sock", node.folder());
-        let stream = UnixStream::connect(place).expect("it sits");
+impl Other {
+    fn of(stream: UnixStream) -> Other {
         stream.set_read_timeout(Some(LONG)).expect("a time-out");
-        let mut younger = Younger { stream, decoder: Decoder::default() };
+        Other { stream, decoder: Decoder::default() }
+    }
+
+    /// The younger one, which has taken over.
+    fn takes_over(node: &Node) -> Other {
+        let place = format!("{}/curlewusher-127.0.0.1-0.sock", node.folder());
+        let mut younger = Other::of(UnixStream::connect(place).expect("it sits"));
         younger.say(0, Frame::Hello { node: "n0".into(), listen: "127.0.0.1:0".into() });
         // The byte that carries the listener.
         younger.stream.read_exact(&mut [0]).expect("a welcome");
@@ -119,6 +126,29 @@
         younger
     }
 
+    /// The elder one of a node with that configuration, which it welcomes to this listener.
+    fn is_followed(text: &str, listener: &TcpListener) -> (Other, Node) {
+        let file = Node::file(text);
+        let folder = format!("{file}.d");
+        let seat = UnixListener::bind(format!("{folder}/curlewusher-127.0.0.1-0.sock")).expect("a place");
+        let child = Node::spawn_in(&folder, &file, 1024, None);
+        let mut elder = Other::of(seat.accept().expect("a hello").0);
+        assert!(matches!(elder.hears(), (_, Frame::Hello { .. })));
+        elder.say_with(listener, b"+");
+        elder.say(0, Frame::Welcome("".into()));
+        (elder, Node::heard((child, file)))
+    }
+
+    /// Says these bytes, the first of which carries a descriptor.
+    fn say_with(&mut self, fd: &impl AsFd, bytes: &[u8]) {
+        let fds = [fd.as_fd()];
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        assert!(control.push(SendAncillaryMessage::ScmRights(&fds)));
+        let sent = sendmsg(&self.stream, &[IoSlice::new(bytes)], &mut control, SendFlags::NOSIGNAL);
+        assert_eq!(sent.expect("it reads"), bytes.len());
+    }
+
     fn say(&mut self, seq: u64, frame: Frame) {
         self.stream.write_all(&frame.encode(seq).expect("short")).expect("it reads");
     }
@@ -135,11 +165,11 @@
         }
     }
 
-    /// The number of the next job that is to move here.
-    fn moved(&mut self) -> u64 {
+    /// The next job that is to move here, and the number of that.
+    fn moved(&mut self) -> (u64, Frame) {
         let (seq, frame) = self.hears();
         assert!(matches!(frame, Frame::Move(_)), "{frame:?}");
-        seq
+        (seq, frame)
     }
 }
 
@@ -161,8 +191,8 @@
     let client = write(node.address, &job("r1", "order", 60.0, ""));
     hop.request().answer("202 Accepted");
     until(|| node.count("curlewusher_delivery_attempts_accepted_total") == 1);
-    let mut younger = Younger::takes_over(&node);
-    let seq = younger.moved();
+    let mut younger = Other::takes_over(&node);
+    let (seq, _) = younger.moved();
     leaves(client);
     younger.say(seq, Frame::Moved(false));
     let withdrawal = hop.request();
@@ -179,8 +209,8 @@
     let (node, watch, _discovery) = Node::configured(&[], patient);
     let client = write(node.address, &job("r1", "order", 9.0, ""));
     until(|| node.count("curlewusher_jobs_taken_total") == 1);
-    let mut younger = Younger::takes_over(&node);
-    let seq = younger.moved();
+    let mut younger = Other::takes_over(&node);
+    let (seq, _) = younger.moved();
     leaves(client);
     younger.say(seq, Frame::Moved(false));
     drop(younger);
@@ -195,6 +225,56 @@
     assert!(!hop.has_more(), "sent on for nobody");
 }
 
+/// A job from a new client is the next that the hop gets, and is served.
+fn serves(at: SocketAddr, hop: &Server, id: &str) {
+    let client = write(at, &job(id, "view", 9.0, ""));
+    let got = hop.request();
+    assert_eq!(got.message.header("x-request-id"), Some(id), "another one goes out");
+    got.answer("202 Accepted");
+    let told = format!(r#"{{"id":"{id}","from":"s-1","state":"done","result":"x"}}"#);
+    let head = format!("POST /callback HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n", told.len());
+    assert_eq!(ask(at, &(head + &told)).status(), 204);
+    assert_eq!(answer(client).status(), 200);
+}
+
+#[test]
+fn of_two_processes_never_do_both_hold_a_job_whose_move_breaks_off() {
+    // A job that is out nowhere is to move.
+    let hops = [Server::start(), Server::start()];
+    let (elder, watch, _discovery) = Node::configured(&[], patient);
+    let client = write(elder.address, &job("r1", "order", 60.0, ""));
+    until(|| elder.count("curlewusher_jobs_taken_total") == 1);
+    let mut to_elder = Other::takes_over(&elder);
+    let (_, moved) = to_elder.moved();
+
+    // The younger one gets it, and the elder has given the link up before it can hear so.
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let at = listener.local_addr().expect("an address");
+    let discovery = Server::start();
+    let known = [endpoint("s-1", hops[1].address, "in_service")];
+    let (mut to_younger, younger) = Other::is_followed(&patient(discovery.address, &known), &listener);
+    Watch::open(&discovery).line(&list(42, true, &known));
+    let (seq, asks) = to_younger.hears();
+    assert_eq!(asks, Frame::TakeOver);
+    to_younger.say(seq, Frame::Yours("".into()));
+    // What it says next does not reach anybody.
+    to_younger.stream.shutdown(Shutdown::Read).expect("it is up");
+    let socket = TcpStream::connect(at).expect("it listens");
+    to_younger.say_with(&socket, &moved.encode(9).expect("short"));
+    younger.says_of("the other process is gone");
+    serves(at, &hops[1], "r2");
+    assert!(!hops[1].has_more(), "it is the elder's");
+
+    drop(to_elder);
+    elder.says_of("the other process is gone");
+    watch.line(&list(43, false, &[endpoint("s-1", hops[0].address, "in_service")]));
+    let got = hops[0].request();
+    assert_eq!(got.message.header("x-request-id"), Some("r1"));
+    got.answer("202 Accepted");
+    elder.tell("r1", "s-1", r#""state":"done","result":"x""#);
+    assert_eq!(answer(client).status(), 200);
+}
+
 #[test]
 fn open_jobs_leave_room_for_what_ends_them_however_many_a_site_allows() {
     // More than the queue has room for besides.
--- a/crates/operation/src/frame.rs
+++ b/crates/operation/src/frame.rs
@@ -137,6 +137,12 @@
 }
 
 impl Frame {
+    /// Whether it answers something that was asked over the link.
+    pub fn is_answer(&self) -> bool {
+        use Frame::{Claimed, Done, Heard, Moved, Yours};
+        matches!(self, Yours(_) | Heard(_) | Claimed(_) | Done(_) | Moved(_))
+    }
+
     fn kind(&self) -> u8 {
         match self {
             Frame::Hello { .. } => 1,
