A job that could not be answered in time after a move stays where it is

Need: a job on its way to the other process is in nobody's hands for up to 2 s, where that one does not answer: its deadline passes unseen (let_go() takes its time-out away, the module has released it), and a client whose time is up meanwhile hears nothing until the link is given up. An answer more than half a second late is a lost request.

Change: a job with no more than the bound of a move and half a second left does not move. It is over soon, and the process that has it waits for it anyway.

Measured: moves::a_job_that_could_not_be_answered_in_time_after_a_move_stays_where_it_is plays a younger process that answers no move; without the change the job is moved to it and the link then given up.

--- a/crates/core/src/heritage.rs
+++ b/crates/core/src/heritage.rs
@@ -78,6 +78,11 @@
     pub fn class(&self) -> ClassId {
         ClassId(self.class)
     }
+
+    /// When its client stops waiting.
+    pub fn deadline(&self) -> Micros {
+        self.deadline
+    }
 }
 
 /// What is known of an attempt that is out.
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -20,6 +20,7 @@
 use tracing::{debug, trace};
 
 use crate::counters::{Counter, Counters};
+use crate::handover::MOVE_TIME;
 use crate::logs::DISPATCH;
 
 /// Room in the queue, beside the place that each open job holds for the news that its client has gone: were those
@@ -31,6 +32,10 @@
     mpsc::channel(QUEUE_ROOM + connections)
 }
 
+/// A job that has no longer than this left stays where it is: were the other process to keep silent while it is on its
+/// way there, its answer would come too late. Half a second is for what comes after.
+const TOO_LATE_TO_MOVE: Micros = MOVE_TIME.as_micros() as Micros + 500_000;
+
 /// Microseconds since the Unix epoch that never go back: read once from the system, then counted on.
 #[derive(Clone, Copy)]
 pub struct Clock {
@@ -270,6 +275,7 @@
     id: Rc<str>,
     class: ClassId,
     taken: Micros,
+    deadline: Micros,
     parcel: Rc<P>,
     answer: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
@@ -473,8 +479,10 @@
     fn let_go(&mut self, ticket: &Ticket, to: oneshot::Sender<(Moved, Rc<C::Parcel>)>) {
         let Some(id) = ticket.0.get() else { return };
         let settled = |a: &Attempt| a.stage == Stage::Over || a.stage == Stage::Out && a.accepted;
+        let until = self.clock.now() + TOO_LATE_TO_MOVE;
         let movable =
-            self.held.get(&id).is_some_and(|h| h.answer.is_some() && h.attempts.iter().all(settled));
+            |h: &Held<_>| h.answer.is_some() && h.deadline > until && h.attempts.iter().all(settled);
+        let movable = self.held.get(&id).is_some_and(movable);
         if !movable || to.is_closed() {
             return;
         }
@@ -580,9 +588,10 @@
         }
         debug!(target: DISPATCH, request_id = %name, "comes from the other process");
         self.counters.add(Counter::MovedHere);
-        let class = moved.job.class();
+        let (class, deadline) = (moved.job.class(), moved.job.deadline());
         let answer = Some(answer);
-        self.held.insert(id, Held { id: name, class, taken: moved.taken, parcel, answer, attempts });
+        self.held
+            .insert(id, Held { id: name, class, taken: moved.taken, deadline, parcel, answer, attempts });
         self.carry_out();
     }
 
@@ -613,6 +622,7 @@
             id: taken.id,
             class: taken.class,
             taken: self.clock.now(),
+            deadline: taken.deadline,
             parcel,
             answer,
             attempts: Vec::new(),
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -45,7 +45,8 @@
 const CLAIM_TIME: Duration = Duration::from_millis(300);
 /// An operator waits behind this for up to 1 s.
 const CALL_TIME: Duration = Duration::from_millis(700);
-const MOVE_TIME: Duration = Duration::from_millis(2000);
+/// A job that moves is in nobody's hands for up to this long.
+pub const MOVE_TIME: Duration = Duration::from_millis(2000);
 const TAKE_OVER_TIME: Duration = Duration::from_millis(1000);
 /// A process that reads nothing for so long is as good as gone.
 const STALLED: Duration = Duration::from_millis(2000);
--- a/crates/node/tests/moves/mod.rs
+++ b/crates/node/tests/moves/mod.rs
@@ -1,7 +1,7 @@
 //! The dispatch task's narrow moments: words that cross, jobs on their way between two processes of a node, and
 //! settings of other customers.
 
-use std::io::{IoSlice, Read, Write};
+use std::io::{ErrorKind, IoSlice, Read, Write};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsFd;
@@ -225,6 +225,23 @@
     assert!(!hop.has_more(), "sent on for nobody");
 }
 
+#[test]
+fn a_job_that_could_not_be_answered_in_time_after_a_move_stays_where_it_is() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::configured(&[("s-1", &hop)], patient);
+    let client = write(node.address, &job("r1", "order", 2.4, ""));
+    hop.request().answer("202 Accepted");
+    until(|| node.count("curlewusher_delivery_attempts_accepted_total") == 1);
+    let mut younger = Other::takes_over(&node);
+    // The younger one does not answer; the client gets its answer all the same.
+    assert_eq!(answer(client).status(), 502);
+    assert!(hop.request().message.start.starts_with("DELETE "));
+    assert_eq!(younger.decoder.take(), Ok(None), "it was to move");
+    younger.stream.set_nonblocking(true).expect("a socket");
+    let said = younger.stream.read(&mut [0]).map_err(|e| e.kind());
+    assert_eq!(said, Err(ErrorKind::WouldBlock), "it was to move, or the link is given up");
+}
+
 /// A job from a new client is the next that the hop gets, and is served.
 fn serves(at: SocketAddr, hop: &Server, id: &str) {
     let client = write(at, &job(id, "view", 9.0, ""));
