--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
 use std::time::Duration;
@@ -462,6 +462,16 @@
         assert!(Command::new("kill").args([which, &id]).status().expect("kill is there").success());
     }
 
+    /// The number that the system knows its process by.
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().expect("it runs").id()
+    }
+
+    /// How it ended, if it has; nothing is waited for.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.as_mut().expect("it ran").try_wait().expect("it is a child")
+    }
+
     pub fn end(mut self) -> Output {
         self.child.take().expect("it runs").wait_with_output().expect("it ends")
     }
--- /dev/null
+++ b/crates/node/tests/random_lives/ledger.rs
@@ -0,0 +1,193 @@
+//! Owns what is known of each job of a life, and the judge over it: what the node may never do, written plainly. It
+//! must never act, and goes only by what the next hops and clients of the life have seen.
+
+use std::time::{Duration, Instant};
+
+use crate::common::Message;
+
+/// A copy may come so long after the first that may have run, on the wire.
+const WIRE_SLACK: Duration = Duration::from_millis(50);
+/// Nothing answers this late after the client's time; the node's own answer comes before that time.
+const LATE: Duration = Duration::from_millis(1500);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    View,
+    Order,
+    Register,
+}
+
+impl Class {
+    pub fn name(self) -> &'static str {
+        match self {
+            Class::View => "view",
+            Class::Order => "order",
+            Class::Register => "register",
+        }
+    }
+}
+
+/// How an attempt ended, as its next hop knows it.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    /// It may have run.
+    pub ran: bool,
+}
+
+/// A delivery attempt whose last byte has come.
+#[derive(Debug)]
+pub struct Attempt {
+    pub hop: usize,
+    pub cell: (usize, usize),
+    pub at: Instant,
+    /// Its 202 is written.
+    pub accepted: bool,
+    /// A withdrawal has come, answered or not.
+    pub withdrawals: u32,
+    pub started: bool,
+    pub ended: Option<Ended>,
+}
+
+impl Attempt {
+    pub fn may_have_run(&self) -> bool {
+        self.ended.is_none_or(|ended| ended.ran)
+    }
+}
+
+/// What became of a request at its client.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fate {
+    /// Not all of it is written.
+    Begun,
+    Waits,
+    Answered(u16),
+    /// Its client has left.
+    Gone,
+    /// Its connection ended where that is nobody's fault, as between two requests.
+    Crossed,
+}
+
+#[derive(Debug)]
+pub struct Job {
+    pub id: String,
+    pub class: Class,
+    pub path: String,
+    pub key: Option<String>,
+    pub body: String,
+    pub deadline: Duration,
+    /// When its last byte was written, and after how many other events.
+    pub sent: Option<(Instant, u64)>,
+    pub fate: Fate,
+    pub left: Option<Instant>,
+    /// The node has had more than the time it may take to see that its client left.
+    pub left_is_known: bool,
+    /// More was written behind it.
+    pub more_behind: bool,
+    pub attempts: Vec<Attempt>,
+    pub results: Vec<String>,
+    pub history: Vec<String>,
+}
+
+/// What a life's settings say that the judge goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules {
+    pub window: Duration,
+    pub most_attempts: usize,
+}
+
+/// What was told of a next hop that takes nothing new.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    /// The node has read it by then, and after so many events.
+    pub read: Instant,
+    pub events: u64,
+    /// More than the time has passed in which it must stop.
+    pub settled: bool,
+}
+
+impl Job {
+    pub fn is_open(&self) -> bool {
+        matches!(self.fate, Fate::Begun | Fate::Waits)
+    }
+
+    /// An attempt whose last byte has come to a next hop: it cannot have come before `earliest`.
+    pub fn arrived(
+        &self,
+        message: &Message,
+        (hop, cell): (usize, (usize, usize)),
+        stop: Option<Stop>,
+        earliest: Instant,
+        rules: Rules,
+    ) -> Result<(), String> {
+        let Some((_, events)) = self.sent else { return Err("sent on before it was whole".into()) };
+        let start = format!("POST {} HTTP/1.1", self.path);
+        let same = message.start == start
+            && message.body == self.body
+            && message.header("idempotency-key") == self.key.as_deref();
+        if !same {
+            return Err(format!("not passed on unchanged: {message:?}"));
+        }
+        if let Some(at) = self.attempts.iter().position(|a| a.ended.is_none()) {
+            return Err(format!("a second copy at {hop} beside attempt {at}"));
+        }
+        if let Fate::Answered(_) | Fate::Crossed = self.fate {
+            return Err(format!("sent on to {hop} after it was {:?}", self.fate));
+        }
+        if self.left_is_known {
+            return Err(format!("sent on to {hop} long after its client left"));
+        }
+        if self.attempts.len() >= rules.most_attempts {
+            return Err("more attempts than the settings allow".into());
+        }
+        if let Some(stop) = stop
+            && (stop.settled || events > stop.events)
+        {
+            return Err(format!("sent to {hop}, which was told to take nothing new"));
+        }
+        let Some(first) = self.attempts.iter().find(|a| a.may_have_run()) else { return Ok(()) };
+        match self.class {
+            Class::View => Ok(()),
+            Class::Order => Err(format!("sent again to {hop}, though it may have run")),
+            Class::Register if first.cell != cell => {
+                Err(format!("sent again to {hop} of another cell, though it may have run"))
+            }
+            Class::Register if earliest > first.at + rules.window + WIRE_SLACK => {
+                Err(format!("sent again to {hop} after the window for repeats"))
+            }
+            Class::Register => Ok(()),
+        }
+    }
+
+    /// A whole answer has come to its client, no earlier than at `earliest`.
+    pub fn answered(&self, message: &Message, earliest: Instant) -> Result<(), String> {
+        let status = message.status();
+        match self.fate {
+            Fate::Answered(before) => return Err(format!("answered {status} after {before}")),
+            Fate::Begun if status == 408 || status == 400 => return Ok(()),
+            Fate::Begun => return Err(format!("answered {status} before it was whole")),
+            _ => {}
+        }
+        match status {
+            200 if !self.results.contains(&message.body) => {
+                return Err(format!("served with what no next hop made for it: {:?}", message.body));
+            }
+            429 | 503 if self.class != Class::View && self.attempts.iter().any(Attempt::may_have_run) => {
+                return Err("refused, though an attempt may have run".into());
+            }
+            200 | 429 | 502 | 503 => {}
+            _ => return Err(format!("answered {status}: {}", message.body)),
+        }
+        match self.sent {
+            Some((sent, _)) if earliest > sent + self.deadline + LATE => {
+                Err(format!("answered {status} long after its time"))
+            }
+            _ => Ok(()),
+        }
+    }
+
+    /// It has waited so long that no answer can be meant to come.
+    pub fn forgotten(&self) -> bool {
+        let waited = |(sent, _): (Instant, _)| sent.elapsed() > self.deadline + 3 * LATE;
+        self.fate == Fate::Waits && self.sent.is_some_and(waited)
+    }
+}
