Short lives: the node held still, idle connections spoilt, a long end

Need: three kinds of moment were not drawn. An end that finds new requests, call-backs and a signal at once; a next hop that closes an idle connection or writes a second answer there; a 202 that is on its way while the node gives up, where a reset was taken for a heard give-up. Change: SIGTERM while the node is held still, up to 80 events after it, both spoilt idle connections; a 202 that was written while the node was held still counts as read; requests are looked for in all that was read; ids carry the seed, and others are turned away; what the node's log says of a job is shown with a broken promise.

--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -392,6 +392,11 @@
         child.kill().and_then(|()| child.wait()).expect("it ends");
     }
 
+    /// All that it has written to standard error and that was not looked at.
+    pub fn said_so_far(&self) -> Vec<String> {
+        self.said.try_iter().collect()
+    }
+
     /// The next line that it writes to standard error.
     pub fn says(&self) -> String {
         self.said.recv_timeout(LONG).expect("a line")
--- a/crates/node/tests/random_lives/ledger.rs
+++ b/crates/node/tests/random_lives/ledger.rs
@@ -1,4 +1,5 @@
-//! Owns what is known of each job of a life, and the judge over it: what the node may never do, written plainly. It
+//! Owns what is known of each job of a life, and the judge over it: what the node may never do, written
+//! plainly. It
 //! must never act, and goes only by what the next hops and clients of the life have seen.
 
 use std::time::{Duration, Instant};
@@ -42,6 +43,8 @@
     pub at: Instant,
     /// Its 202 is written.
     pub accepted: bool,
+    /// And it was there before the node did anything more: to end the connection gives up nothing any more.
+    pub surely: bool,
     /// A withdrawal has come, answered or not.
     pub withdrawals: u32,
     pub started: bool,
--- a/crates/node/tests/random_lives/life.rs
+++ b/crates/node/tests/random_lives/life.rs
@@ -1,6 +1,9 @@
-//! Owns one life: a node as a process, with a discovery, next hops and clients that are all played here, on one thread.
-//! Every event is drawn from the seed. After each, what has come on all sockets is read, the node is asked something
-//! and has answered, and the judge has looked at everything. It must never wait for a time to pass in place of an
+//! Owns one life: a node as a process, with a discovery, next hops and clients that are all played here, on
+//! one thread.
+//! Every event is drawn from the seed. After each, what has come on all sockets is read, the node is asked
+//! something
+//! and has answered, and the judge has looked at everything. It must never wait for a time to pass in place
+//! of an
 //! event, but for the life's own pauses, on which no verdict rests.
 
 use std::collections::VecDeque;
@@ -23,9 +26,16 @@
 const STOPS_WITHIN: Duration = Duration::from_millis(800);
 /// A watch that is well has a line at least this often.
 const HEARTBEAT: Duration = Duration::from_millis(700);
-/// The node does not see that a client has left while bytes that came behind its request are unread: a job that still
-/// waits for a next hop is sent on, and one that is out runs on, up to the client's time. Lives 46 and 57 show it.
+/// The node does not see that a client has left while bytes that came behind its request are unread: a job
+/// that still
+/// waits for a next hop is sent on, and one that is out runs on, up to the client's time. Lives 46 and 57
+/// show it.
 const SEES_CLIENTS_LEAVE_BEHIND_MORE: bool = false;
+/// So long after SIGTERM new connections must still be served.
+const STILL_COMING: Duration = Duration::from_millis(400);
+const ACCEPTED: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+/// What the node says of a job is shown where a promise to it is broken.
+const OPERATOR: &str = "[log]\nlevel = \"debug\"\nlines_per_s = 100000\nwaiting_lines = 65536\n";
 /// Figures that a client may give for its work, in microseconds.
 const HINTS: [u64; 3] = [5_000, 20_000, 100_000];
 
@@ -55,6 +65,8 @@
     at: Option<(usize, usize)>,
     /// The last request on it is answered in full, and nothing but that was written.
     free: bool,
+    /// A second answer was written on it: what still comes on it is not served.
+    spoilt: bool,
 }
 
 /// What a next hop is still to do with an attempt.
@@ -121,7 +133,7 @@
     lines_lost: bool,
     /// Events up to which the node is held still.
     held_for: u64,
-    terminated: bool,
+    terminated: Option<Instant>,
     over: bool,
 }
 
@@ -155,7 +167,8 @@
         let most_attempts = rng.usize(2..=5);
         let [view, order, register] = deadlines.map(|ms| ms * 1000);
         let settings = format!(
-            r#"{{"balancers":1,"rank":0,"zone":0,"discovery":"subscribe","localities":["a","b"],"kinds":["m"],"weights":"nominal",
+            r#"{{"balancers":1,"rank":0,"zone":0,"discovery":"subscribe","localities":["a","b"],"kinds":["m"],
+            "weights":"nominal",
             "services":[
             {{"name":"view","idempotency":"safe","objectiveUs":{view},"giveUpUs":{view},"worth":1.0}},
             {{"name":"order","idempotency":"unsafe","objectiveUs":{order},"giveUpUs":{order},"worth":1.0}},
@@ -169,7 +182,7 @@
         );
         let known: Vec<_> = hops.iter().map(Hop::line).collect();
         let at = discoveries[0].local_addr().expect("an address");
-        let node = Node::start(&config(&settings, at, &list(41, true, &known)));
+        let node = Node::start_with(&config(&settings, at, &list(41, true, &known)), OPERATOR);
         let now = Instant::now();
         let mut life = Life {
             seed,
@@ -196,7 +209,7 @@
             unconfirmed: vec![],
             lines_lost: false,
             held_for: 0,
-            terminated: false,
+            terminated: None,
             over: false,
         };
         if !life.pump(LONG, |life| life.watches.iter().any(|watch| watch.open)) {
@@ -219,7 +232,7 @@
             self.rest(descriptors);
         }
         self.terminate();
-        let after = self.events + if early { 12 } else { 0 };
+        let after = self.events + if early { 80 } else { 0 };
         while self.events < after && !self.over {
             self.event();
         }
@@ -254,6 +267,7 @@
             36..=40 => self.change(a, b),
             41..=42 => self.trouble_watch(b),
             43 => self.hang_up(a, b),
+            62..=63 => self.spoil_idle(a, b),
             44..=46 => self.hold_still(2 + a as u64 % 3),
             47..=49 => self.pass_time(Duration::from_millis(60 + a as u64 % 150)),
             _ => self.pass_time(Duration::from_millis(2 + a as u64 % 40)),
@@ -291,7 +305,7 @@
     fn new_job(&mut self, a: usize, b: usize, half: bool, behind: bool) {
         let number = self.jobs.len();
         let class = [Class::View, Class::Order, Class::Register][a % 3];
-        let id = format!("j{number}");
+        let id = format!("l{}-{number}", self.seed);
         let path = format!("/api/k{}?q={number}", a % 7);
         let (body, key) = (format!("body of {id}"), (class == Class::Register).then(|| format!("key-{id}")));
         let most = self.deadlines[a % 3];
@@ -309,7 +323,7 @@
         }
         request += &format!("\r\n{body}");
         let idle = |caller: &&mut Caller| caller.job.is_none() && caller.wire.is_open();
-        let reused = if b % 3 == 0 { self.callers.iter_mut().filter(idle).last() } else { None };
+        let reused = if b.is_multiple_of(3) { self.callers.iter_mut().filter(idle).last() } else { None };
         let at = match reused {
             Some(caller) => {
                 caller.worn = true;
@@ -321,7 +335,7 @@
             }),
         };
         let Some(at) = at else {
-            if !self.terminated {
+            if self.terminated.is_none() {
                 self.broken(None, "a new connection is refused");
             }
             return;
@@ -402,7 +416,7 @@
         self.index += 1;
         let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a date").as_millis();
         let this = &mut self.hops[hop];
-        if this.status == Status::Terminated && status == Status::InService && b % 2 == 0 {
+        if this.status == Status::Terminated && status == Status::InService && b.is_multiple_of(2) {
             this.since_ms = now;
         }
         (this.status, this.changed, this.stop) = (status, self.index, None);
@@ -410,7 +424,7 @@
         let line = list(self.index, false, &[this.line()]);
         for at in 0..self.watches.len() {
             if self.watches[at].is_well() {
-                self.say(at, &line, b / 8 % 3 == 0);
+                self.say(at, &line, (b / 8).is_multiple_of(3));
             }
         }
         if status != Status::InService && self.watches.iter().any(Watch::is_well) {
@@ -445,11 +459,28 @@
         self.lines_lost = true;
     }
 
+    /// A next hop ends connections on which nothing is asked, or writes a second answer on them.
+    fn spoil_idle(&mut self, a: usize, b: usize) {
+        self.read_all();
+        let hop = a % self.hops.len();
+        let idle = |link: &&mut Link| link.hop == hop && link.free && link.wire.is_open();
+        for link in self.links.iter_mut().filter(idle) {
+            match b % 3 {
+                0 => link.wire.close(false),
+                1 => link.wire.close(true),
+                _ => {
+                    link.wire.write(ACCEPTED);
+                    link.spoilt = true;
+                }
+            }
+        }
+    }
+
     fn hang_up(&mut self, a: usize, b: usize) {
         if self.over {
             return;
         }
-        if b % 4 == 0 {
+        if b.is_multiple_of(4) {
             return self.node.reload("{");
         }
         let at = self.discoveries[a % 2].local_addr().expect("an address");
@@ -517,7 +548,6 @@
     }
 
     fn reply(&mut self, job: usize, attempt: usize, link: usize, reply: Reply) {
-        const ACCEPTED: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
         const BUSY: &str = "HTTP/1.1 503 Service Unavailable\r\n";
         let text = match reply {
             Reply::Accepted => ACCEPTED.into(),
@@ -552,7 +582,9 @@
         this.free = whole.contains(&reply);
         match reply {
             Reply::Accepted | Reply::AcceptedEndless | Reply::AcceptedTwice | Reply::AcceptedRest => {
-                self.jobs[job].attempts[attempt].accepted = heard;
+                let held = self.held_for > 0;
+                let this = &mut self.jobs[job].attempts[attempt];
+                (this.accepted, this.surely) = (heard, heard && held);
             }
             Reply::NotRun | Reply::TimedOutNotRun | Reply::NotRunEndless => {
                 self.attempt_ended(job, attempt, "turned away", false);
@@ -603,7 +635,7 @@
     /// A call-back; one that nobody takes any more is of no use.
     fn call(&mut self, text: String, cut: usize, tries: u32) {
         let Some(mut wire) = Wire::connect(self.node.address) else {
-            if !self.terminated {
+            if self.terminated.is_none() {
                 self.broken(None, "a call-back's connection is refused");
             }
             return;
@@ -620,7 +652,8 @@
         while self.pass() {}
     }
 
-    /// Looks at every socket once; whether anything had come. Answers are judged after all that next hops have got.
+    /// Looks at every socket once; whether anything had come. Answers are judged after all that next hops
+    /// have got.
     fn pass(&mut self) -> bool {
         let now = Instant::now();
         let mut any = false;
@@ -629,7 +662,7 @@
         }
         for hop in 0..self.hops.len() {
             while let Ok((stream, _)) = self.hops[hop].listener.accept() {
-                self.links.push(Link { wire: Wire::new(stream), hop, at: None, free: true });
+                self.links.push(Link { wire: Wire::new(stream), hop, at: None, free: true, spoilt: false });
                 any = true;
             }
         }
@@ -641,13 +674,12 @@
             }
         }
         for link in 0..self.links.len() {
-            if self.links[link].wire.read() {
-                any = true;
-                while let Some(message) = self.links[link].wire.message() {
-                    self.asked(link, &message);
-                }
-                self.link_ended(link);
+            any |= self.links[link].wire.read();
+            // Some of it may have been read before, where only the end was looked for.
+            while let Some(message) = self.links[link].wire.message() {
+                self.asked(link, &message);
             }
+            self.link_ended(link);
         }
         for at in 0..self.callers.len() {
             self.client(at);
@@ -670,16 +702,20 @@
     }
 
     fn asked(&mut self, link: usize, message: &Message) {
-        if !self.links[link].free {
-            let text = format!("a request on a connection that is not free: {}", message.start);
-            self.broken(self.links[link].at.map(|at| at.0), &text);
-        }
         let id = match message.start.strip_prefix("DELETE /jobs/") {
             Some(rest) => rest.split(' ').next(),
             None => message.header("x-request-id"),
         };
-        let job = id.and_then(|id| id.strip_prefix('j')?.parse().ok()).filter(|job| *job < self.jobs.len());
+        let Some(number) = id.and_then(|id| id.strip_prefix(&format!("l{}-", self.seed))) else {
+            // A node of another test, whose next hop or discovery had this port before.
+            return self.links[link].wire.close(false);
+        };
+        let job = number.parse().ok().filter(|job| *job < self.jobs.len());
         let Some(job) = job else { self.broken(None, &format!("a request of nobody's: {message:?}")) };
+        if !self.links[link].free {
+            let text = format!("a request on a connection that is not free: {}", message.start);
+            self.broken(Some(job), &text);
+        }
         if message.start.starts_with("DELETE") {
             return self.withdrawn(link, job);
         }
@@ -703,12 +739,17 @@
             cell,
             at: Instant::now(),
             accepted: false,
+            surely: false,
             withdrawals: 0,
             started: false,
             ended: None,
         });
         self.links[link].at = Some((job, attempt));
         self.links[link].free = false;
+        if self.links[link].spoilt {
+            self.links[link].wire.close(true);
+            return self.attempt_ended(job, attempt, "broken off", true);
+        }
         let acts = script::of_attempt(&mut self.draw("attempt", job, attempt));
         self.parts.push(Part { job, attempt, link, acts });
     }
@@ -761,13 +802,14 @@
         }
     }
 
-    /// Where the node has closed a connection with an attempt on it, that is given up if its 202 was not read.
+    /// Where the node has closed a connection with an attempt on it, that is given up if its 202 was not
+    /// read.
     fn link_ended(&mut self, link: usize) {
         let Link { wire, at, .. } = &self.links[link];
         let (Some(end), Some((job, attempt))) = (wire.end, *at) else { return };
         self.links[link].at = None;
         let this = &self.jobs[job].attempts[attempt];
-        if this.ended.is_none() && (!this.accepted || end == End::Reset) {
+        if this.ended.is_none() && (!this.accepted || end == End::Reset && !this.surely) {
             self.last_words(job, attempt);
             self.attempt_ended(job, attempt, "given up by the end of its connection", true);
         }
@@ -799,7 +841,9 @@
             self.callers[at].job = None;
             self.note(job, format!("its connection ends after {half:?}"));
             let unread = self.jobs[job].attempts.is_empty() && half.is_empty();
-            if self.jobs[job].fate != Fate::Begun && !(unread && (worn || self.terminated)) {
+            let (sent, ends) = (self.jobs[job].sent, self.terminated);
+            let late = sent.zip(ends).is_some_and(|((sent, _), ends)| sent > ends + STILL_COMING);
+            if self.jobs[job].fate != Fate::Begun && !(unread && (worn || late)) {
                 self.broken(Some(job), "its connection ended without a whole answer");
             }
             self.jobs[job].fate = Fate::Crossed;
@@ -811,7 +855,9 @@
         if let Some(message) = self.watches[at].wire.message() {
             let since = message.start.split("follow=1&since=").nth(1).and_then(|rest| rest.split(' ').next());
             let Some(since) = since.and_then(|since| since.parse::<u64>().ok()) else {
-                self.broken(None, &format!("discovery is asked {}", message.start));
+                // As of a next hop that had this port in another test.
+                self.watches[at].wire.close(false);
+                return any;
             };
             self.watches_asked += 1;
             let first = self.watches_asked == 1;
@@ -853,7 +899,7 @@
             Some(message) if matches!(message.status(), 200 | 204) => {}
             Some(message) => self.broken(None, &format!("{:?} is answered {message:?}", call.text)),
             None if call.wire.is_open() => self.calls.push(call),
-            None if self.terminated => {
+            None if self.terminated.is_some() => {
                 if call.tries < 10 && !self.over {
                     let cut = call.text.len();
                     self.call(call.text, cut, call.tries + 1);
@@ -897,13 +943,14 @@
 
     fn ended(&mut self) -> bool {
         let Some(status) = self.node.ended() else { return false };
-        if !self.terminated || !status.success() {
+        if self.terminated.is_none() || !status.success() {
             self.broken(None, &format!("the program has ended: {status}"));
         }
         true
     }
 
-    /// Asks the node something and has the answer, and all call-backs answered; then marks what it must know by now.
+    /// Asks the node something and has the answer, and all call-backs answered; then marks what it must know
+    /// by now.
     fn settle(&mut self) {
         if self.held_for > 0 || self.over {
             return self.read_all();
@@ -917,7 +964,8 @@
             metrics.lines().find_map(|line| line.strip_prefix("curlewusher_transport_map_changes_total "));
         let read: u64 = read.and_then(|read| read.parse().ok()).expect("a counter");
         if self.lines_lost && self.watches.iter().all(|watch| watch.open && watch.rest.is_empty()) {
-            // Lines that nobody read were counted; whatever is read next on a watch comes after those before it there.
+            // Lines that nobody read were counted; whatever is read next on a watch comes after those before
+            // it there.
             self.lines_lost = false;
             self.lines = read;
             self.unconfirmed.iter_mut().for_each(|(_, lines)| *lines = read + 1);
@@ -951,7 +999,7 @@
                 self.control = Wire::connect(self.node.address);
             }
             let Some(control) = &mut self.control else {
-                if !self.terminated {
+                if self.terminated.is_none() {
                     self.broken(None, "a new connection is refused");
                 }
                 self.pump(Duration::from_millis(20), |life| life.over);
@@ -968,7 +1016,7 @@
             if let Some(message) = self.control.as_mut().and_then(Wire::message) {
                 return Some(message.body);
             }
-            if !self.terminated {
+            if self.terminated.is_none() {
                 self.broken(None, "it does not show its counters");
             }
             self.control = None;
@@ -1019,10 +1067,10 @@
         self.pump(Duration::from_millis(10), |life| life.over);
     }
 
+    /// Where the node is held still, it finds this and what came before and after at once.
     fn terminate(&mut self) {
-        self.go_on();
         self.settle();
-        self.terminated = true;
+        self.terminated = Some(Instant::now());
         self.node.signal("-TERM");
     }
 
@@ -1055,9 +1103,13 @@
             Some(job) => format!("{job:#?}"),
             None => format!("{:?}", self.jobs.iter().filter(|job| job.is_open()).collect::<Vec<_>>()),
         };
+        let id = job.and_then(|job| self.jobs.get(job)).map_or("WARN", |job| &job.id);
+        let about = |line: &String| line.split(['=', ' ']).any(|word| word == id);
+        let said: Vec<_> = self.node.said_so_far().into_iter().filter(about).collect();
         panic!(
             "life {seed}, event {event}: {what}\nagain: LIVES_SEED={seed} cargo test -p curlewusher-node \
-             --locked --test node random_lives\n{ledger}"
+             --locked --test node random_lives\n{ledger}\n{}",
+            said.join("\n")
         );
     }
 }
@@ -1078,8 +1130,11 @@
             Status::Terminated => "terminated",
         };
         format!(
-            r#"{{"name":"{}","address":"{}","zone":"{zone}","type":"m","group":{group},"status":"{status}","weight":4.0,"since_ms":{}}}"#,
-            self.name, self.address, self.since_ms
+            concat!(
+                r#"{{"name":"{}","address":"{}","zone":"{}","type":"m","group":{},"status":"{}","#,
+                r#""weight":4.0,"since_ms":{}}}"#
+            ),
+            self.name, self.address, zone, group, status, self.since_ms
         )
     }
 }
--- a/crates/node/tests/random_lives/mod.rs
+++ b/crates/node/tests/random_lives/mod.rs
@@ -1,6 +1,7 @@
 //! Short lives of one node, drawn from a seed, with what must hold after every event.
 //!
-//! `LIVES_SEED=n` lives the life of that seed alone, `LIVES_COUNT=n` so many from it on, `LIVES_AT_ONCE=n` so many
+//! `LIVES_SEED=n` lives the life of that seed alone, `LIVES_COUNT=n` so many from it on, `LIVES_AT_ONCE=n`
+//! so many
 //! side by side.
 
 mod ledger;
--- a/crates/node/tests/random_lives/script.rs
+++ b/crates/node/tests/random_lives/script.rs
@@ -1,4 +1,5 @@
-//! Owns what a next hop does with one attempt or one withdrawal, drawn from the life's seed and the attempt's own
+//! Owns what a next hop does with one attempt or one withdrawal, drawn from the life's seed and the
+//! attempt's own
 //! number: the same whatever else came first. It must never act.
 
 use std::collections::VecDeque;
--- a/crates/node/tests/random_lives/wire.rs
+++ b/crates/node/tests/random_lives/wire.rs
@@ -1,4 +1,5 @@
-//! Owns one connection of a life as bytes: it reads what has come without waiting, finds whole messages in it, and
+//! Owns one connection of a life as bytes: it reads what has come without waiting, finds whole messages in
+//! it, and
 //! tells a close from a reset. It must never wait, nor know what a message means.
 
 use std::io::{ErrorKind, Read, Write};
