A job counts against the share of its own tenant

Seen: the node gave each job to the first tenant (TenantId(0) in dispatch.rs), whatever the header said: on a site with shares all traffic used up the first one's, and what was within the others' shares was held back as if beyond one. Change: X-Tenant names the tenant, by its name or its place in the settings; a job of nobody is malformed where there are tenants, and the header is not looked at where there are none.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -75,6 +75,7 @@
 pub struct Taken<P> {
     pub id: Rc<str>,
     pub class: ClassId,
+    pub tenant: TenantId,
     pub deadline: Micros,
     pub hint: Option<f64>,
     pub slots: f64,
@@ -631,7 +632,7 @@
         self.tell(Event::Offered(Offer {
             job,
             class: taken.class,
-            tenant: TenantId(0),
+            tenant: taken.tenant,
             deadline: taken.deadline,
             hint: taken.hint,
             slots: taken.slots,
--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use curlewusher::{ClassId, Effect, number_of};
+use curlewusher::{ClassId, Effect, TenantId, number_of};
 use curlewusher_operation::succession::{Route, route};
 use curlewusher_settings::Site;
 use curlewusher_settings::operator::SenderSide as Tuning;
@@ -48,6 +48,7 @@
 use crate::places::Places;
 
 const X_CLASS: HeaderName = HeaderName::from_static("x-class");
+const X_TENANT: HeaderName = HeaderName::from_static("x-tenant");
 const X_RETRY: HeaderName = HeaderName::from_static("x-retry");
 const X_COST_HINT: HeaderName = HeaderName::from_static("x-cost-hint");
 const X_EXTRAS: HeaderName = HeaderName::from_static("x-extras");
@@ -82,6 +83,8 @@
     clock: Clock,
     /// Names of the classes, and whether their jobs carry a key.
     classes: Vec<(String, bool)>,
+    /// Names of the tenants.
+    tenants: Vec<String>,
     lifecycle: Lifecycle,
     counters: Counters,
     tuning: Rc<Cell<Tuning>>,
@@ -169,6 +172,22 @@
     }
 }
 
+/// Whose share a job counts against: by name, or by its place in the settings. Where there are tenants a job of nobody's
+/// would count against nobody's share.
+fn tenant(names: &[String], named: Option<&str>) -> Result<TenantId, Malformed> {
+    let place = |name: &str| {
+        let place = || name.parse().ok().filter(|place| *place < names.len());
+        names.iter().position(|n| n == name).or_else(place)
+    };
+    match named {
+        _ if names.is_empty() => Ok(TenantId(0)),
+        None => Err(bad("header x-tenant is missing")),
+        Some(name) => {
+            place(name).map(TenantId).ok_or_else(|| bad(format!("header x-tenant names no tenant: {name}")))
+        }
+    }
+}
+
 /// A figure from nought to `most`.
 fn number(headers: &HeaderMap, name: &HeaderName, most: f64) -> Result<Option<f64>, Malformed> {
     let malformed = || bad(format!("header {name} is malformed"));
@@ -212,6 +231,7 @@
             queue,
             clock,
             classes: site.classes.iter().cloned().zip(keyed).collect(),
+            tenants: site.tenants.clone(),
             lifecycle,
             counters,
             tuning,
@@ -670,6 +690,7 @@
         let class = text(headers, &X_CLASS)?.ok_or_else(|| bad("header x-class is missing"))?;
         let place = shared.classes.iter().position(|(name, _)| name == class);
         let place = place.ok_or_else(|| bad(format!("header x-class names no class: {class}")))?;
+        let tenant = tenant(&shared.tenants, text(headers, &X_TENANT)?)?;
         text(headers, &IDEMPOTENCY_KEY)?;
         let key = headers.get(IDEMPOTENCY_KEY).cloned();
         if shared.classes[place].1 && key.is_none() {
@@ -724,6 +745,7 @@
         let taken = Taken {
             id,
             class: ClassId(place),
+            tenant,
             deadline: came + (wait * 1e6) as u64,
             hint,
             slots,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -80,6 +80,8 @@
 #[derive(Deserialize, Serialize)]
 #[serde(rename_all = "camelCase")]
 struct Customer {
+    #[serde(default)]
+    name: String,
     quota_per_s: f64,
 }
 
@@ -137,6 +139,8 @@
     pub decisions: Settings,
     /// Names of the classes, by their place.
     pub classes: Vec<String>,
+    /// Names of the tenants, by their place.
+    pub tenants: Vec<String>,
     /// Names of the zones, by their place.
     pub zones: Vec<String>,
     /// Names of the kinds of machine, by their place.
@@ -215,6 +219,7 @@
     Ok(Site {
         decisions: settings,
         classes: wire.services.into_iter().map(|s| s.name).collect(),
+        tenants: wire.customers.into_iter().map(|c| c.name).collect(),
         zones: wire.localities,
         kinds: wire.kinds,
         connect_timeout: match wire.limits.connect_timeout_us {
