A refusal of a site without advice on coming again carries no Retry-After

Need: where limits.maxRetryAfterUs is 0 the module advises no wait, which the node wrote as 'Retry-After: 0.000': to clients that follow it this says to come again at once, in the overload that the refusal is for.

Change: deferred() leaves the header out where there is no wait.

Measured: moves::where_a_site_has_no_advice_on_coming_again_none_is_given finds the header without the change, and finds it with and without advice as it should with it.

--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -152,7 +152,10 @@
 
 fn deferred(after: Duration) -> Reply {
     let mut reply = reply(StatusCode::SERVICE_UNAVAILABLE, "deferred: come again later\n");
-    if let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64())) {
+    // 0 is no advice, and not 'at once'.
+    if !after.is_zero()
+        && let Ok(seconds) = HeaderValue::from_str(&format!("{:.3}", after.as_secs_f64()))
+    {
         reply.headers_mut().insert(RETRY_AFTER, seconds);
     }
     reply
--- a/crates/node/tests/moves/mod.rs
+++ b/crates/node/tests/moves/mod.rs
@@ -396,3 +396,15 @@
         assert!(said.contains(&format!("settings.limits.{line}")), "{said}");
     }
 }
+
+#[test]
+fn where_a_site_has_no_advice_on_coming_again_none_is_given() {
+    let nowhere = "127.0.0.1:1".parse().expect("an address");
+    for (most, advised) in [("2000000", true), ("0", false)] {
+        let text = config(nowhere, &[])
+            .replace("\"maxRetryAfterUs\":2000000", &format!("\"maxRetryAfterUs\":{most}"));
+        let node = Node::start(&text);
+        let answer = ask(node.address, &job("r1", "view", 0.3, ""));
+        assert_eq!((answer.status(), answer.header("retry-after").is_some()), (503, advised), "{most}");
+    }
+}
