A word for an unknown job is said again while a lost process may serve on

Need: where one process of a node gives the link up because the other keeps silent for 2 s, both serve on and take connections from one listener. A call-back reached either of them; the one that does not hold its job answered 204, the next hop never said it again, and the job waited for its deadline. Only a place to meet that cannot be used counted as 'another process may be there' (Peer::estranged).

Change: a process that has lost its link knows the number of the one at the other end, and while that one runs answers such a word with 503, so that it is repeated and can reach the other.

Measured: in moves::a_word_for_an_unknown_job_is_to_be_said_again_while_the_other_process_may_serve_on the test is the younger process and gives the link up: 204 without the change, 503 with it; after a younger one that was killed it is 204 as before.

--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -23,6 +23,7 @@
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, Shutdown, recvmsg, sendmsg, shutdown, sockopt::socket_acceptconn,
 };
+use rustix::process::{Pid, test_kill_process};
 use thiserror::Error;
 use tokio::io::Interest;
 use tokio::net::{UnixListener, UnixStream};
@@ -977,6 +978,8 @@
 pub struct Peer {
     link: Rc<RefCell<Option<Link>>>,
     estranged: Rc<Cell<bool>>,
+    /// The process at the other end of a link that was lost.
+    lost: Rc<Cell<Option<Pid>>>,
 }
 
 impl Peer {
@@ -990,9 +993,18 @@
         *self.link.borrow_mut() = link;
     }
 
+    /// The link is lost. Whoever was at its other end is gone, or has given the link up and serves on by itself.
+    pub fn lose(&self) {
+        let link = self.link.take();
+        let pid = link.and_then(|link| link.0.stream.peer_cred().ok()?.pid()).and_then(Pid::from_raw);
+        self.lost.set(pid);
+    }
+
     /// Whether another process may serve beside this one that it cannot reach.
     pub fn estranged(&self) -> bool {
-        self.estranged.get()
+        // Once it is no more its number may be another's.
+        self.lost.set(self.lost.get().filter(|pid| test_kill_process(*pid).is_ok()));
+        self.estranged.get() || self.lost.get().is_some()
     }
 
     /// Another process may be there, since the place where both meet cannot be used; or it is known that none is.
--- a/crates/node/src/upgrade.rs
+++ b/crates/node/src/upgrade.rs
@@ -350,6 +350,7 @@
                 return self.succession.handle(Event::GivenBack);
             }
             Asked::Lost => {
+                self.parts.operations.peer.lose();
                 self.link(None);
                 if let Some(heritage) = self.learned.take() {
                     self.inherit(heritage.drained, heritage.estate).await;
--- a/crates/node/tests/moves/mod.rs
+++ b/crates/node/tests/moves/mod.rs
@@ -242,6 +242,25 @@
     assert_eq!(said, Err(ErrorKind::WouldBlock), "it was to move, or the link is given up");
 }
 
+#[test]
+fn a_word_for_an_unknown_job_is_to_be_said_again_while_the_other_process_may_serve_on() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::configured(&[("s-1", &hop)], patient);
+    let word = r#"{"id":"r9","from":"s-1","state":"failed"}"#;
+    assert_eq!(node.callback(word), 204);
+    // The younger one gives the link up, and runs on: it is the test itself.
+    drop(Other::takes_over(&node));
+    node.says_of("the other process is gone");
+    assert_eq!(node.callback(word), 503);
+    // One that is no more holds nothing.
+    let discovery = Server::start();
+    let younger = Node::heard(node.spawn_beside(discovery.address));
+    node.says_of("a successor has come");
+    younger.kill();
+    node.says_of("the other process is gone");
+    assert_eq!(node.callback(word), 204);
+}
+
 /// A job from a new client is the next that the hop gets, and is served.
 fn serves(at: SocketAddr, hop: &Server, id: &str) {
     let client = write(at, &job(id, "view", 9.0, ""));
