A client that reads nothing of its answers holds no place for ever

A connection whose far end takes nothing of what is written to it stands as idle. make_way() and the look at times ended it by hyper's graceful shutdown, which waits for the write to get on: never. It kept its place, and as many as there are places (32 of 64 descriptors) shut the node to everybody, /ready among them. Ruled out: floods that go, rest or stop half way, which a_flood_of_bad_clients_of_every_kind_shuts_no_good_one_out has played before.

Connection keeps in mind since when a write gets nowhere. One that is blocked for 0.8 s is dropped at once where it is to make way, and any after 10 s. What was called moved is now dropped: both end here without a word.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -22,6 +22,8 @@
 /// A request that has begun, or a connection on which nothing comes, has this long. Good clients take up to 2 s to write
 /// one; what cannot be read is owed an answer or a close within 3 s of its connection.
 pub const READ_TIME: Duration = Duration::from_millis(2700);
+/// A far end that takes nothing of its answer for so long has gone.
+pub const WRITE_TIME: Duration = Duration::from_millis(10_000);
 /// A connection makes way for others no sooner than this after it came, was last answered, or began a request.
 const YOUNG: Duration = Duration::from_millis(50);
 const SETTLED: Duration = Duration::from_millis(200);
@@ -66,8 +68,11 @@
     pub follows: RefCell<Option<Waker>>,
     /// What its connection reads from, while there is one.
     pub filter: RefCell<Weak<RefCell<ReadFilter>>>,
-    /// The other process of this node has its job and its client: it ends here without a word.
-    pub moved: Cell<bool>,
+    /// Since when its far end has taken nothing of what is written to it.
+    pub blocked: Cell<Option<Instant>>,
+    /// It ends here at once and without a word: the other process of this node has its job and its client, or its far
+    /// end takes nothing.
+    pub dropped: Cell<bool>,
 }
 
 impl Connection {
@@ -84,7 +89,8 @@
             close: Notify::new(),
             follows: RefCell::default(),
             filter: RefCell::default(),
-            moved: Cell::new(false),
+            blocked: Cell::default(),
+            dropped: Cell::new(false),
         }
     }
 
@@ -115,6 +121,36 @@
         self.close.notify_one();
     }
 
+    /// Ends it without a word.
+    pub fn drop_now(&self) {
+        self.dropped.set(true);
+        self.close.notify_one();
+    }
+
+    /// Whether its far end has taken nothing for so long of what is written to it.
+    pub fn is_blocked(&self, time: Duration) -> bool {
+        self.blocked.get().is_some_and(|since| since.elapsed() >= time)
+    }
+
+    /// Makes way for another one.
+    pub fn make_way(&self) {
+        // One that nobody reads would come to its good end never.
+        if self.is_blocked(SLOW) {
+            self.drop_now()
+        } else {
+            self.end()
+        }
+        // It is not chosen twice.
+        self.since.set(Instant::now());
+    }
+
+    /// Keeps in mind whether what is written gets on.
+    fn wrote<T>(&self, poll: Poll<T>) -> Poll<T> {
+        let since = self.blocked.get().unwrap_or_else(Instant::now);
+        self.blocked.set(poll.is_pending().then_some(since));
+        poll
+    }
+
     /// Whether its time is up.
     pub fn overdue(&self, idle: Duration) -> bool {
         match self.state.get() {
@@ -327,7 +363,7 @@
     connection.cut.set(false);
     connection.enter(ConnectionState::Lingering);
     let makes_way = async {
-        while !connection.cut.get() {
+        while !connection.cut.get() && !connection.dropped.get() {
             connection.close.notified().await;
         }
     };
@@ -345,7 +381,9 @@
 
 impl AsyncWrite for FilteredStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_write(cx, buf)
+        let mut filter = self.0.borrow_mut();
+        let written = Pin::new(&mut filter.stream).poll_write(cx, buf);
+        filter.connection.wrote(written)
     }
 
     fn poll_write_vectored(
@@ -353,7 +391,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.borrow_mut().stream).poll_write_vectored(cx, bufs)
+        let mut filter = self.0.borrow_mut();
+        let written = Pin::new(&mut filter.stream).poll_write_vectored(cx, bufs);
+        filter.connection.wrote(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -32,12 +32,13 @@
 use tokio::sync::oneshot::error::TryRecvError;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 use tracing::{debug, warn};
 
 use crate::callback::Callback;
 use crate::connection::{
-    Connection, ConnectionState, FilteredStream, LONGEST_HEAD, READ_TIME, ReadFilter, discard, linger,
+    Connection, ConnectionState, FilteredStream, LONGEST_HEAD, READ_TIME, ReadFilter, WRITE_TIME, discard,
+    linger,
 };
 use crate::counters::{Counter, Counters};
 use crate::dispatch::{Adopted, Answer, Clock, Holder, Moved, Notice, Queue, Taken, Ticket};
@@ -271,10 +272,13 @@
                 // A node that ends keeps them open a little longer: clients use what they have until then.
                 let phase = self.shared.lifecycle.phase();
                 let sends_on = phase.sends_on() && !phase.ends();
-                let goes = |connection: &&Rc<Connection>| {
-                    connection.overdue(idle) || sends_on && connection.can_go_on()
-                };
-                self.connections().iter().filter(goes).for_each(|connection| connection.end());
+                for connection in self.connections() {
+                    if connection.is_blocked(WRITE_TIME) {
+                        connection.drop_now();
+                    } else if connection.overdue(idle) || sends_on && connection.can_go_on() {
+                        connection.end();
+                    }
+                }
             }
         };
         tokio::join!(self.take_connections(listener), look);
@@ -371,11 +375,7 @@
             })
         });
         let longest = lingering.into_iter().min_by_key(|connection| connection.since.get());
-        for connection in longest.into_iter().chain(least.flatten()) {
-            connection.end();
-            // It is not chosen twice.
-            connection.since.set(Instant::now());
-        }
+        longest.into_iter().chain(least.flatten()).for_each(|connection| connection.make_way());
     }
 
     async fn serve(self, stream: TcpStream) {
@@ -404,7 +404,7 @@
                 // How it ended makes no difference here: a job that it carried says so by its drop.
                 _ = http.as_mut() => return true,
                 // One that is cut ends by what the filter then says, when it is next polled.
-                () = connection.close.notified() => if connection.moved.get() {
+                () = connection.close.notified() => if connection.dropped.get() {
                     return false;
                 } else if !connection.cut.get() {
                     http.as_mut().graceful_shutdown();
@@ -773,8 +773,7 @@
                         && self.move_on(&ticket, client).await
                     {
                         open.gone = None;
-                        connection.moved.set(true);
-                        connection.close.notify_one();
+                        connection.drop_now();
                         // Its connection is dropped now, and this with it.
                         std::future::pending::<()>().await;
                     }
--- a/crates/node/tests/connections/mod.rs
+++ b/crates/node/tests/connections/mod.rs
@@ -196,6 +196,7 @@
     socket.set_recv_buffer_size(4096).expect("an option of any socket");
     socket.connect(&node.address.into()).expect("it listens");
     let mut stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(LONG)).expect("a time-out");
     let ask = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
     stream.write_all(ask.repeat(420).as_bytes()).expect("it reads");
     stream.read_exact(&mut [0; 12]).expect("an answer");
@@ -277,3 +278,16 @@
         assert!(!stream.read_to_end(&mut said).is_err_and(timed_out), "it is held for ever");
     }
 }
+
+#[test]
+fn clients_that_read_nothing_of_their_answers_make_way() {
+    let (discovery, hop) = (Server::start(), Server::start());
+    let config = config(discovery.address, &[endpoint("s-1", hop.address, "in_service")]);
+    let node = Node::start_within(&config.replace("1024", "64"), 64);
+    // More than it has places for; each holds its answers back, and stays.
+    let _crowd: Vec<_> = (0..40).map(|_| reads_nothing(&node)).collect();
+    let client = write(node.address, &job("r1", "view", 9.0, ""));
+    hop.request().answer("202 Accepted");
+    node.tell("r1", "s-1", r#""state":"done","result":"x""#);
+    assert_eq!(answer(client).status(), 200);
+}
