The node's end does not wait for a moved job's client to close

Read in the code while the ending order was looked through: adopt() held its OpenJob while the connection lingered, so that finish() counted the job as open for up to 1.5 s after its answer was written, if the client rested.

The OpenJob is dropped once the answer is written; the connection lingers after that as every other does. Answers to jobs that did not move count the same way, as hyper's future ends before a connection lingers.

A test of the time itself would be one of timing, and is left out.

--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -669,6 +669,8 @@
         if let Ok(answer) = answer {
             let reply = answer_to(answer).unwrap_or_else(|(status, why)| reply(status, why + "\n"));
             let written = timeout(CLOSE_TIME, write_reply(&mut stream, reply)).await;
+            // The node's end waits for the answer alone.
+            drop(open);
             if matches!(written, Ok(Ok(()))) {
                 discard(stream).await;
             }
