What comes while the last withdrawals are under way is told to come again

After close() the accept task was ended, while the node still waited up to 1.5 s for next hops to hear its last withdrawals. A copy of the listener is kept for successors until the process exits, so that the system went on taking connections and requests there which nobody read: they were reset at the exit. Ruled out: a node whose successor serves; it leaves the queue to that one before and after.

In serve.rs the accept task goes on through that wait; what is read is answered 503 (Shared::over). Connections are closed once more after it, and then the listener.

Measured: what_comes_while_the_last_withdrawal_is_under_way_is_told_to_come_again gets no answer before this change, and a 503 with Connection: close after it.

--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -223,9 +223,7 @@
         let _ = ending.send(Notice::Ending(answered_within)).await;
         tokio::time::sleep(DRAIN_AT_LEAST).await;
         sender_side.finish().await;
-        // The listener goes last: a connection that it has in its queue would be reset.
         sender_side.close().await;
-        accept.abort();
         let rest = async {
             while !next_hops.at_rest() {
                 tokio::time::sleep(Duration::from_millis(10)).await;
@@ -235,6 +233,9 @@
         let wait = if upgrade.goes_on() { PASSING_ON } else { LAST_WORDS };
         let _ = tokio::time::timeout(wait, rest).await;
         upgrade.leave(&next_hops).await;
+        // What came meanwhile. The listener goes last: a connection that it has in its queue would be reset.
+        sender_side.close().await;
+        accept.abort();
         lifecycle.go(Move::Answered);
     };
     // Without the dispatch task or the transport map a node is deaf: better to end than to hang on.
--- a/crates/node/tests/connections/mod.rs
+++ b/crates/node/tests/connections/mod.rs
@@ -291,3 +291,21 @@
     node.tell("r1", "s-1", r#""state":"done","result":"x""#);
     assert_eq!(answer(client).status(), 200);
 }
+
+#[test]
+fn what_comes_while_the_last_withdrawal_is_under_way_is_told_to_come_again() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let client = write(node.address, &job("r1", "order", 60.0, ""));
+    hop.request().answer("202 Accepted");
+    node.signal("-TERM");
+    assert_eq!(answer(client).status(), 502);
+    // Its next hop has heard that it is to stop and does not say so. By the time it is told again the node has closed
+    // all that it had.
+    for _ in 0..2 {
+        assert_eq!(hop.request().message.start, "DELETE /jobs/r1 HTTP/1.1");
+    }
+    let late = ask(node.address, &job("r2", "view", 9.0, ""));
+    assert_eq!((late.status(), late.header("connection")), (503, Some("close")));
+    assert!(node.end().status.success());
+}
