Test: a call-back that cannot be used gets a plain answer and changes nothing

Nine malformed bodies get 400, one over 64 KiB 413, one that stops half way 408, and one whose far end goes half way disturbs nothing: the job that all of them name is served after that, at one attempt. No change of the program.

--- a/crates/node/tests/connections/mod.rs
+++ b/crates/node/tests/connections/mod.rs
@@ -309,3 +309,36 @@
     assert_eq!((late.status(), late.header("connection")), (503, Some("close")));
     assert!(node.end().status.success());
 }
+
+#[test]
+fn a_call_back_that_cannot_be_used_gets_a_plain_answer_and_changes_nothing() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let client = write(node.address, &job("r1", "view", 9.0, ""));
+    hop.request().answer("202 Accepted");
+    let cases = [
+        "",
+        "{",
+        r#"{"id":"r1","from":"s-1"}"#,
+        r#"{"id":"r1","from":"s-1","state":"asleep"}"#,
+        r#"{"id":"r1","from":"s-1","state":"running"}"#,
+        r#"{"id":"r1","from":"s-1","state":"running","share":1.5}"#,
+        r#"{"id":"r1","from":"s-1","state":"done"}"#,
+        r#"{"id":"r1","from":"s-1","state":"done","result":"\ud800"}"#,
+        r#"{"id":["r1"],"from":"s-1","state":"lost"}"#,
+    ];
+    for case in cases {
+        assert_eq!(node.callback(case), 400, "{case}");
+    }
+    assert_eq!(
+        node.callback(&format!(r#"{{"id":"r1","from":"s-1","state":"lost"{}}}"#, " ".repeat(70_000))),
+        413
+    );
+    // One that stops half way, and one whose far end goes half way.
+    let half = "POST /callback HTTP/1.1\r\nHost: x\r\nContent-Length: 90\r\n\r\n{\"id\":\"r1\",";
+    drop(write(node.address, half));
+    assert_eq!(ask(node.address, half).status(), 408);
+    node.tell("r1", "s-1", r#""state":"done","result":"x""#);
+    assert_eq!(answer(client).status(), 200);
+    assert!(!hop.has_more());
+}
