Comments on connections keep to 110 columns

They are wrapped again, and the head of sender_side.rs says which requests it answers by itself. No change of code.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -1,5 +1,5 @@
-//! Owns a connection that was accepted: where it stands, its limits, the filter through which hyper reads it, and
-//! its end. It must never know what a request asks for, nor answer one.
+//! Owns a connection that was accepted: where it stands, its limits, the filter through which hyper reads it,
+//! and its end. It must never know what a request asks for, nor answer one.
 
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
@@ -19,17 +19,19 @@
 
 /// No head is longer; hyper buffers no more than this either.
 pub const LONGEST_HEAD: usize = 16 << 10;
-/// A request that has begun, or a connection on which nothing comes, has this long. Good clients take up to 2 s to write
-/// one; what cannot be read is owed an answer or a close within 3 s of its connection.
+/// A request that has begun, or a connection on which nothing comes, has this long. Good clients take up to 2
+/// s to write one; what cannot be read is owed an answer or a close within 3 s of its connection.
 pub const READ_TIME: Duration = Duration::from_millis(2700);
 /// A far end that takes nothing of its answer for so long has gone.
 pub const WRITE_TIME: Duration = Duration::from_millis(10_000);
-/// A connection makes way for others no sooner than this after it came, was last answered, or began a request.
+/// A connection makes way for others no sooner than this after it came, was last answered, or began a
+/// request.
 const YOUNG: Duration = Duration::from_millis(50);
 const SETTLED: Duration = Duration::from_millis(200);
 const SLOW: Duration = Duration::from_millis(800);
 
-/// A connection that this node ends is read for so long, and so many bytes, after the end of what it says there.
+/// A connection that this node ends is read for so long, and so many bytes, after the end of what it says
+/// there.
 const LINGER_TIME: Duration = Duration::from_millis(1500);
 const LINGER_BYTES: usize = 256 << 10;
 
@@ -53,7 +55,8 @@
     pub state: Cell<ConnectionState>,
     /// When it came to that state.
     pub since: Cell<Instant>,
-    /// When the request that is being read began, or the connection where it is the first; and when it last got on.
+    /// When the request that is being read began, or the connection where it is the first; and when it last
+    /// got on.
     pub begun: Cell<Instant>,
     pub heard: Cell<Instant>,
     /// Next hops' connections stay open while this node drains: it waits for what they have to say.
@@ -70,8 +73,8 @@
     pub filter: RefCell<Weak<RefCell<ReadFilter>>>,
     /// Since when its far end has taken nothing of what is written to it.
     pub blocked: Cell<Option<Instant>>,
-    /// It ends here at once and without a word: the other process of this node has its job and its client, or its far
-    /// end takes nothing.
+    /// It ends here at once and without a word: the other process of this node has its job and its client, or
+    /// its far end takes nothing.
     pub dropped: Cell<bool>,
 }
 
@@ -160,8 +163,8 @@
         }
     }
 
-    /// Whether its client can go on elsewhere unharmed: it has sent nothing, and for so long that nothing of it is
-    /// likely to be on its way. One that is sending may finish.
+    /// Whether its client can go on elsewhere unharmed: it has sent nothing, and for so long that nothing of
+    /// it is likely to be on its way. One that is sending may finish.
     pub fn can_go_on(&self) -> bool {
         matches!(self.state.get(), ConnectionState::New | ConnectionState::Idle)
             && !self.next_hop.get()
@@ -182,8 +185,8 @@
 }
 
 /// What comes on a connection, on its way to hyper. Each head is read here first: hyper takes a request that
-/// carries both lengths for a chunked one and drops the other length, by which another server may see a second
-/// request in it.
+/// carries both lengths for a chunked one and drops the other length, by which another server may see a
+/// second request in it.
 pub struct ReadFilter {
     stream: TcpStream,
     connection: Rc<Connection>,
@@ -268,8 +271,8 @@
 pub struct FilteredStream(pub Rc<RefCell<ReadFilter>>);
 
 impl ReadFilter {
-    /// Reads on while a request is in hand: an end of the stream lies behind all that was sent before it. Ready
-    /// once the far end has left.
+    /// Reads on while a request is in hand: an end of the stream lies behind all that was sent before it.
+    /// Ready once the far end has left.
     pub fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         while self.connection.state.get() == ConnectionState::Busy {
             let mut room = [std::mem::MaybeUninit::uninit(); 4096];
@@ -317,8 +320,8 @@
                 }
             }
             if this.connection.cut.get() {
-                // What has come is read first, however late that is: it may be the end of a request, which would be
-                // lost. Its length is bounded.
+                // What has come is read first, however late that is: it may be the end of a request, which
+                // would be lost. Its length is bounded.
                 this.connection.cut.set(false);
                 if !this.unread() {
                     this.counters.add(Counter::Cut);
@@ -341,8 +344,9 @@
     }
 }
 
-/// Ends what is said on a connection and reads what the far end had under way, which is never served: to close
-/// one over bytes that were not read resets it, and an answer that the far end has not read can go with that.
+/// Ends what is said on a connection and reads what the far end had under way, which is never served: to
+/// close one over bytes that were not read resets it, and an answer that the far end has not read can go with
+/// that.
 pub async fn discard(mut stream: TcpStream) {
     // Done by hyper already where that came to a good end. From one that is reset nothing more is read.
     let _ = stream.shutdown().await;
--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -1,6 +1,7 @@
-//! Owns the listener on RELAY_LISTEN and all that speaks HTTP there: clients' jobs, next hops' call-backs, the
-//! front's question whether this node is ready, and the counters. It must never decide what becomes of a job,
-//! and never answer one before the dispatch task has, but for what is malformed and so is no job.
+//! Owns the listener on RELAY_LISTEN and all that speaks HTTP there: clients' jobs, next hops' call-backs,
+//! the front's question whether this node is ready, and the counters. It must never decide what becomes of a
+//! job, and never answer one before the dispatch task has, but for what is malformed, finds no room here, or
+//! comes when the node has answered all and ends: none of these is taken.
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -119,7 +120,8 @@
 }
 
 /// Stands for a job that was taken. Dropped without an answer it says that the client has gone; it holds a
-/// place in the queue for that, since a drop cannot wait for one. Until it has that place nobody knows the job.
+/// place in the queue for that, since a drop cannot wait for one. Until it has that place nobody knows the
+/// job.
 struct OpenJob {
     gone: Option<(OwnedPermit<Notice<Parcel>>, Ticket)>,
     shared: Rc<Shared>,
@@ -354,8 +356,8 @@
     }
 
     /// Closes the connection that is missed least: one that has brought nothing, before one that is slow to
-    /// bring it, before a client's that is idle, before a next hop's. Of those the one that has stood longest.
-    /// It lingers first; one that lingers gives its place up now.
+    /// bring it, before a client's that is idle, before a next hop's. Of those the one that has stood
+    /// longest. It lingers first; one that lingers gives its place up now.
     fn make_way(&self) {
         let connections = self.connections();
         let new =
@@ -415,7 +417,8 @@
         }
     }
 
-    /// Ends clients' connections that carry no request. One on which a request has begun may bring it to its end.
+    /// Ends clients' connections that carry no request. One on which a request has begun may bring it to its
+    /// end.
     fn send_on(&self) {
         for connection in self.connections() {
             let free = match connection.state.get() {
@@ -429,8 +432,8 @@
         }
     }
 
-    /// Ends idle clients' connections, and returns once nothing that was taken is unanswered. What is read from then
-    /// on was never sent on: it is told to come again.
+    /// Ends idle clients' connections, and returns once nothing that was taken is unanswered. What is read
+    /// from then on was never sent on: it is told to come again.
     pub async fn finish(&self) {
         loop {
             let answered = self.shared.answered.notified();
@@ -443,7 +446,8 @@
         }
     }
 
-    /// Closes all connections, those that still come among them, once what is being written on them is written.
+    /// Closes all connections, those that still come among them, once what is being written on them is
+    /// written.
     pub async fn close(&self) {
         let lingers = |c: &Connection| c.state.get() == ConnectionState::Lingering;
         let closed = async {
@@ -572,8 +576,8 @@
         Ok(reply(StatusCode::SERVICE_UNAVAILABLE, "not heard; say it again\n"))
     }
 
-    /// A call-back that came to the other process of this node. Whether a job here is meant; nothing is said where that
-    /// is about to change, and the call-back is to be repeated.
+    /// A call-back that came to the other process of this node. Whether a job here is meant; nothing is said
+    /// where that is about to change, and the call-back is to be repeated.
     pub async fn hear(&self, body: Bytes) -> Option<bool> {
         let Ok((id, from, word)) = Callback::read(&body) else { return Some(false) };
         let (holder, holds) = oneshot::channel();
@@ -593,7 +597,8 @@
         let _ = self.shared.moves.subscribe().wait_for(|moves| *moves).await;
     }
 
-    /// Moves a job to the other process of this node, with a copy of its client's socket. Whether it is held there.
+    /// Moves a job to the other process of this node, with a copy of its client's socket. Whether it is held
+    /// there.
     async fn move_on(&self, ticket: &Ticket, client: Option<OwnedFd>) -> bool {
         let (Some(link), Some(client)) = (self.shared.peer.link(), client) else { return false };
         let (queue, ticket) = (self.shared.queue.clone(), ticket.clone());
@@ -811,7 +816,8 @@
     content_type: Option<String>,
 }
 
-/// A job and its request as bytes: a length, the record, and the body as it came. None where a header is no text.
+/// A job and its request as bytes: a length, the record, and the body as it came. None where a header is no
+/// text.
 fn record(moved: &Moved, parcel: &Parcel) -> Option<Bytes> {
     let text = |value: &Option<HeaderValue>| match value {
         Some(value) => value.to_str().ok().map(|text| Some(text.to_owned())),
--- a/crates/node/tests/connections/mod.rs
+++ b/crates/node/tests/connections/mod.rs
@@ -81,8 +81,8 @@
     }
 }
 
-/// Whether it was reset, once the node has done all that it was about to do: it is asked something else, and does one
-/// thing after another.
+/// Whether it was reset, once the node has done all that it was about to do: it is asked something else, and
+/// does one thing after another.
 fn is_reset(stream: &TcpStream, node: &Node) -> bool {
     node.get("/ready");
     stream.take_error().expect("an option of any socket").is_some()
@@ -153,7 +153,8 @@
     stream
 }
 
-/// Returns once the node has ended an idle connection: so long after SIGTERM it ends as soon as nothing is in hand.
+/// Returns once the node has ended an idle connection: so long after SIGTERM it ends as soon as nothing is in
+/// hand.
 fn ended(mut idle: TcpStream) {
     assert_eq!(idle.read(&mut [0]).expect("an end in good order"), 0);
 }
@@ -300,8 +301,8 @@
     hop.request().answer("202 Accepted");
     node.signal("-TERM");
     assert_eq!(answer(client).status(), 502);
-    // Its next hop has heard that it is to stop and does not say so. By the time it is told again the node has closed
-    // all that it had.
+    // Its next hop has heard that it is to stop and does not say so. By the time it is told again the node
+    // has closed all that it had.
     for _ in 0..2 {
         assert_eq!(hop.request().message.start, "DELETE /jobs/r1 HTTP/1.1");
     }
