A test holds a dial that is given up before it comes up to leaving nothing behind

Need: an attempt that is given up while its connection comes up was written to no one: it needs no withdrawal, and the connection, late, must carry nothing. This held by construction (the dial is dropped, and with it socket and place), and no test said so.

Change: a next hop whose queue is full, a client that leaves during the dial, then room again: the next job's request is the first and only thing that comes, up to the end of the process.

Measured: a_client_that_leaves_while_a_connection_comes_up_leaves_nothing_to_withdraw passes, and fails where the dial's give-up is taken for one that was written: the call for the first job comes before the second job.

--- a/crates/node/tests/links/mod.rs
+++ b/crates/node/tests/links/mod.rs
@@ -1,8 +1,8 @@
 //! Connections to next hops in their narrow moments: late, second, broken and endless answers, resets,
 //! withdrawals.
 
-use std::io::{BufReader, ErrorKind};
-use std::net::{TcpListener, TcpStream};
+use std::io::{BufReader, ErrorKind, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Instant;
 
 use crate::common::*;
@@ -114,12 +114,58 @@
     drop(hops.remove(i));
     let (_, stream) = accepted(&hops);
     assert_eq!(Message::read(&mut BufReader::new(&stream)).expect("a request").start, POST);
-    std::io::Write::write_all(&mut &stream, b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
-        .expect("it reads");
+    (&stream).write_all(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n").expect("it reads");
     node.tell("r1", hops[0].0, DONE);
     assert_eq!(answer(client).status(), 200);
 }
 
+#[test]
+fn a_client_that_leaves_while_a_connection_comes_up_leaves_nothing_to_withdraw() {
+    use socket2::{Domain, Socket, Type};
+    // A next hop whose queue of connections is full: one more does not come up.
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+    socket.listen(0).expect("it listens");
+    let listener = TcpListener::from(socket);
+    let at = listener.local_addr().expect("an address");
+    let fill = || TcpStream::connect_timeout(&at, std::time::Duration::from_millis(300));
+    let crowd: Vec<_> = std::iter::from_fn(|| fill().ok()).collect();
+    let discovery = Server::start();
+    let known = [endpoint("s-1", at, "in_service")];
+    let node = Node::start(&config(discovery.address, &known));
+    let watch = Watch::open(&discovery);
+    watch.line(&list(42, true, &known));
+    let client = write(node.address, &job("r1", "order", 8.0, ""));
+    until_count(&node, "curlewusher_next_hop_connections_total", 1);
+    drop(client);
+    until_count(&node, "curlewusher_clients_gone_total", 1);
+    // Now there is room. Nothing that comes has to do with the first job.
+    for _ in &crowd {
+        listener.accept().expect("one of the crowd");
+    }
+    let client = write(node.address, &job("r2", "order", 8.0, ""));
+    listener.set_nonblocking(true).expect("a listener");
+    let begun = Instant::now();
+    let stream = loop {
+        if let Ok((stream, _)) = listener.accept() {
+            break stream;
+        }
+        assert!(begun.elapsed() < LONG, "nothing came");
+        std::thread::yield_now();
+    };
+    stream.set_nonblocking(false).expect("a stream");
+    stream.set_read_timeout(Some(LONG)).expect("a time-out");
+    let got = Message::read(&mut BufReader::new(&stream)).expect("a request");
+    assert_eq!((got.start.as_str(), got.header("x-request-id")), (POST, Some("r2")));
+    (&stream).write_all(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n").expect("it reads");
+    node.tell("r2", "s-1", DONE);
+    assert_eq!(answer(client).status(), 200);
+    // By its end it has made all that it had to make.
+    node.signal("-TERM");
+    assert!(node.end().status.success());
+    assert!(listener.accept().is_err(), "another connection than that of the second job");
+}
+
 #[test]
 fn the_answer_does_not_wait_for_a_withdrawal() {
     let hop = Server::start();
