Jobs that have no key come at /api itself, and are served

Ruled out: lists (12 core workers known), headers, deadlines. Cause: sender_side.rs took only /api/KEY for a job; of a site whose jobs concern nothing (no keys) there is no last part. Change: /api is a job without a key; words that only begin like it stay 404. Tests of this and of tenants' shares, each seen to fail without its lines (no request at the next hop; the other tenant's job last of 41).

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -5,8 +5,8 @@
 mod callback;
 mod check;
 mod config;
-mod connection_pool;
 mod connection;
+mod connection_pool;
 mod console;
 mod counters;
 mod dispatch;
--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -56,6 +56,8 @@
 const X_EXTRAS: HeaderName = HeaderName::from_static("x-extras");
 
 const LONGEST_BODY: usize = 64 << 10;
+/// Where jobs are handed in.
+const JOBS: &str = "/api";
 const LONGEST_ID: usize = 128;
 const LONGEST_PATH: usize = 2048;
 /// No client waits for longer, s.
@@ -194,6 +196,11 @@
     }
 }
 
+/// Whether a path is one at which jobs are handed in: `/api/KEY`, or `/api` where jobs have no key.
+fn is_job(path: &str) -> bool {
+    path.strip_prefix(JOBS).is_some_and(|rest| rest.is_empty() || rest.len() > 1 && rest.starts_with('/'))
+}
+
 /// A figure from nought to `most`.
 fn number(headers: &HeaderMap, name: &HeaderName, most: f64) -> Result<Option<f64>, Malformed> {
     let malformed = || bad(format!("header {name} is malformed"));
@@ -480,14 +487,12 @@
                 reply.headers_mut().insert(CONTENT_TYPE, form);
                 Ok(reply)
             }
-            (&Method::POST, path) if path.strip_prefix("/api/").is_some_and(|rest| !rest.is_empty()) => {
-                self.job(request).await
-            }
+            (&Method::POST, path) if is_job(path) => self.job(request).await,
             (_, path) => {
                 let allow = match path {
                     "/callback" => Some("POST"),
                     "/ready" | "/metrics" => Some("GET"),
-                    _ if path.starts_with("/api/") => Some("POST"),
+                    _ if is_job(path) => Some("POST"),
                     _ => None,
                 };
                 match allow {
@@ -720,7 +725,10 @@
         if path.as_str().len() > LONGEST_PATH {
             return Err((StatusCode::URI_TOO_LONG, "the path is too long".into()));
         }
-        let subject = number_of(path.path().rsplit('/').next().unwrap_or_default());
+        // Where jobs concern nothing in particular the path ends with their name for all of them.
+        let subject =
+            path.path().strip_prefix(JOBS).and_then(|rest| rest.rsplit('/').next()).filter(|s| !s.is_empty());
+        let subject = subject.map(number_of);
         let (parts, incoming) = request.into_parts();
         let body = self.body(incoming).await;
         // No await from here to where it counts as open: the node ends once it has seen that nothing is.
@@ -759,7 +767,7 @@
             deadline: came + (wait * 1e6) as u64,
             hint,
             slots,
-            key: Some(subject),
+            key: subject,
             repeat,
             parcel,
             ticket: ticket.clone(),
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -502,3 +502,63 @@
     node.signal("-HUP");
     assert!(node.end().status.success());
 }
+
+#[test]
+fn where_jobs_have_no_key_they_come_without_one_and_are_served() {
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+    let client = write(node.address, &job("r1", "view", 5.0, "").replace("/api/k1?q=2", "/api"));
+    let got = hop.request();
+    assert_eq!(got.message.start, "POST /api HTTP/1.1");
+    got.answer("202 Accepted");
+    node.tell("r1", "s-1", r#""state":"done","result":"x""#);
+    assert_eq!(answer(client).status(), 200);
+    // Neither a word that only begins like it nor another method is one.
+    assert_eq!(ask(node.address, &job("r2", "view", 5.0, "").replace("/api/k1?q=2", "/apis")).status(), 404);
+    assert_eq!(node.get("/api").status(), 405);
+}
+
+#[test]
+fn a_job_counts_against_its_own_tenants_share_and_one_of_nobody_is_malformed() {
+    // The first tenant may hardly send anything: a job beyond its share waits for room to spare, and there is none.
+    let tenants = r#""customers":[{"name":"marl","quotaPerS":0.001},{"name":"tern","quotaPerS":1000}],"overShareWorth":0.01,"#;
+    let settings = |discovery, known: &[String]| {
+        config(discovery, known).replace(r#""settings":{"#, &format!(r#""settings":{{{tenants}"#))
+    };
+    let hop = Server::start();
+    let (node, _watch, _discovery) = Node::configured(&[("s-1", &hop)], settings);
+    let of = |id: &str, tenant: &str| job(id, "view", 5.0, tenant);
+    assert_eq!(ask(node.address, &of("r1", "")).status(), 400);
+    assert_eq!(ask(node.address, &of("r2", "X-Tenant: osier\r\n")).status(), 400);
+    assert_eq!(ask(node.address, &of("r3", "X-Tenant: 2\r\n")).status(), 400);
+    // By name and by place in the settings.
+    for (id, tenant) in [("r4", "X-Tenant: tern\r\n"), ("r5", "X-Tenant: 1\r\n")] {
+        let client = write(node.address, &of(id, tenant));
+        hop.request().answer("202 Accepted");
+        node.tell(id, "s-1", r#""state":"done","result":"x""#);
+        assert_eq!(answer(client).status(), 200);
+    }
+    // What the first tenant's share allows at once is soon used up; behind it the other one's job goes first.
+    let mut firsts = Vec::new();
+    for n in 0..40 {
+        firsts.push(write(node.address, &of(&format!("m{n}"), "X-Tenant: marl\r\n")));
+    }
+    // All are in hand: each has its number, and the next is counted after them.
+    let taken = |count| while node.count("curlewusher_jobs_taken_total") < count {};
+    taken(42);
+    let _last = write(node.address, &of("r6", "X-Tenant: tern\r\n"));
+    taken(43);
+    // One by one they are served: the last to come is not the last to be sent.
+    let mut order = Vec::new();
+    while let Some(got) = (order.len() < 41).then(|| hop.request()) {
+        let id = got.message.header("x-request-id").expect("an id").to_owned();
+        got.answer("202 Accepted");
+        node.tell(&id, "s-1", r#""state":"done","result":"x""#);
+        let found = id == "r6";
+        order.push(id);
+        if found {
+            break;
+        }
+    }
+    assert!(order.len() < 41, "{order:?}");
+}
