A keyed repeat leaves early enough for a connection that comes up late

Cause: may_repeat let a repeat go up to 0.2 s before its window closes; its connection may take connectTimeoutUs (up to 1.5 s on other sites) and 30 ms of rest, so that it reaches its core worker after the window and runs again. Change: on sockets the margin is the time within which a 202 is expected, where that is longer.

--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -101,8 +101,8 @@
 pub(crate) const COLD_STRETCH: f64 = 1.25;
 /// A worker counts as at least this warm, whatever the settings say, so that speeds stay above zero.
 pub(crate) const MIN_WARMTH: f64 = 0.01;
-/// A keyed repeat goes out this long before its window closes at the latest.
-const WINDOW_MARGIN: Micros = 200_000;
+/// A keyed repeat goes out this long before its window closes at the latest: see `on_its_way`.
+pub(crate) const WINDOW_MARGIN: Micros = 200_000;
 /// Seconds of waiting that a price of 1 for a zone crossing is worth.
 const CROSSING: f64 = 2.0;
 /// Asking again for the list after a failure: first wait, and how often it is doubled. What the list has to
@@ -314,7 +314,7 @@
             Effect::Safe => true,
             Effect::Unsafe => false,
             Effect::Keyed { scope, window } => {
-                w.discards_repeats(first, scope) && now + WINDOW_MARGIN < first.sent.saturating_add(window)
+                w.discards_repeats(first, scope) && now + self.on_its_way() < first.repeats_until(window)
             }
         }
     }
--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -138,6 +138,12 @@
         self.arm(now, out);
     }
 
+    /// How long a keyed repeat may take to reach its worker. Where 202s tell, it is an attempt on sockets, whose
+    /// connection may come up late: a worker that is reached after the window runs the repeat as well.
+    pub(crate) fn on_its_way(&self) -> Micros {
+        WINDOW_MARGIN.max(self.settings.accepts_within)
+    }
+
     /// Remembers a job for as long as something may still come of it.
     pub(crate) fn keep(&mut self, job: Job) {
         if !job.ended || job.live().next().is_some() {
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -356,6 +356,13 @@
     pub end: Option<Outcome>,
 }
 
+impl Attempt {
+    /// When repeats of what it ran are no longer discarded.
+    pub fn repeats_until(&self, window: Micros) -> Micros {
+        self.sent.saturating_add(window)
+    }
+}
+
 pub(crate) struct Job {
     pub id: JobId,
     pub class: usize,
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -171,8 +171,13 @@
 #[test]
 fn keyed_is_tried_again_only_in_its_cell_and_window() {
     let workers = fleet(6);
-    for (wait, expect) in [(0, true), (5 * SECOND, false)] {
+    // On sockets a repeat whose connection comes up late must still reach its worker within the window.
+    let (slow, late) = (900_000, 4_300_000);
+    for (wait, accepts_within, expect) in
+        [(0, 0, true), (5 * SECOND, 0, false), (late, 0, true), (late, slow, false), (0, slow, true)]
+    {
         let mut s = settings();
+        s.accepts_within = accepts_within;
         s.classes[1].give_up = 60 * SECOND;
         s.classes[1].aim = 40 * SECOND;
         let mut node = Node::new(s, &workers);
