Test: a refused withdrawal is no word on a job that was taken on

Change: a next hop takes a job on, closes its listener and runs on; three withdrawals meet a refusal, the job stays one attempt and is served there.

--- a/crates/node/tests/links/mod.rs
+++ b/crates/node/tests/links/mod.rs
@@ -76,49 +76,75 @@
     serve(&node, client, &got, if std::ptr::eq(other, &one) { "s-1" } else { "s-2" }, "r1");
 }
 
-#[test]
-fn a_process_that_is_gone_needs_to_hear_no_withdrawal() {
+/// Two next hops whose listeners the test holds, and a node that knows them.
+fn bare_hops() -> (Vec<(&'static str, TcpListener)>, Node, Watch) {
     let listen = || {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         listener.set_nonblocking(true).expect("a listener");
         listener
     };
-    let mut hops = vec![("s-1", listen()), ("s-2", listen())];
+    let hops = vec![("s-1", listen()), ("s-2", listen())];
     let at = |hop: &(&str, TcpListener)| hop.1.local_addr().expect("an address");
     let known: Vec<_> = hops.iter().map(|hop| endpoint(hop.0, at(hop), "in_service")).collect();
     let discovery = Server::start();
     let node = Node::start(&config(discovery.address, &known));
     let watch = Watch::open(&discovery);
     watch.line(&list(42, true, &known));
-    let client = write(node.address, &job("r1", "view", 8.0, ""));
-    let accepted = |hops: &[(&str, TcpListener)]| {
-        let begun = Instant::now();
-        loop {
-            for (i, hop) in hops.iter().enumerate() {
-                match hop.1.accept() {
-                    Ok((stream, _)) => {
-                        stream.set_nonblocking(false).expect("a stream");
-                        stream.set_read_timeout(Some(LONG)).expect("a time-out");
-                        return (i, stream);
-                    }
-                    Err(e) => assert_eq!(e.kind(), ErrorKind::WouldBlock),
+    (hops, node, watch)
+}
+
+/// The next connection to one of them, by its place, with the job's request read from it.
+fn accepted(hops: &[(&str, TcpListener)]) -> (usize, TcpStream) {
+    let begun = Instant::now();
+    loop {
+        for (i, hop) in hops.iter().enumerate() {
+            match hop.1.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(false).expect("a stream");
+                    stream.set_read_timeout(Some(LONG)).expect("a time-out");
+                    let got = Message::read(&mut BufReader::new(&stream)).expect("a request");
+                    assert_eq!(got.start, POST);
+                    return (i, stream);
                 }
+                Err(e) => assert_eq!(e.kind(), ErrorKind::WouldBlock),
             }
-            assert!(begun.elapsed() < LONG, "nothing came");
-            std::thread::yield_now();
         }
-    };
+        assert!(begun.elapsed() < LONG, "nothing came");
+        std::thread::yield_now();
+    }
+}
+
+#[test]
+fn a_process_that_is_gone_needs_to_hear_no_withdrawal() {
+    let (mut hops, node, _watch) = bare_hops();
+    let client = write(node.address, &job("r1", "view", 8.0, ""));
     // The first one's process is gone: nobody listens there, and what is open says nothing.
-    let (i, silent) = accepted(&hops);
-    assert_eq!(Message::read(&mut BufReader::new(&silent)).expect("a request").start, POST);
+    let (i, _silent) = accepted(&hops);
     drop(hops.remove(i));
     let (_, stream) = accepted(&hops);
-    assert_eq!(Message::read(&mut BufReader::new(&stream)).expect("a request").start, POST);
     (&stream).write_all(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n").expect("it reads");
     node.tell("r1", hops[0].0, DONE);
     assert_eq!(answer(client).status(), 200);
 }
 
+#[test]
+fn a_refused_withdrawal_says_nothing_of_a_job_that_was_taken_on() {
+    // A next hop that holds as many connections as it may refuses others, and runs on.
+    let (mut hops, node, _watch) = bare_hops();
+    let client = write(node.address, &job("r1", "view", 8.0, ""));
+    let (i, stream) = accepted(&hops);
+    let taken = b"HTTP/1.1 202 Accepted\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+    let (name, full) = hops.remove(i);
+    drop(full);
+    (&stream).write_all(taken).expect("it reads");
+    // It is not started, so that the job is called off there; each call meets a refusal.
+    until_count(&node, "curlewusher_withdrawals_unheard_total", 3);
+    assert_eq!(node.count(ATTEMPTS), 1, "a second copy beside one that may still run");
+    node.tell("r1", name, DONE);
+    assert_eq!(answer(client).status(), 200);
+    assert_eq!(node.count(ATTEMPTS), 1);
+}
+
 #[test]
 fn a_client_that_leaves_while_a_connection_comes_up_leaves_nothing_to_withdraw() {
     use socket2::{Domain, Socket, Type};
