Short lives: the scope in which repeats are discarded is drawn

Need: every life gave its keyed class one scope, a cell; zones and the whole fleet were never played. Change: each life draws the scope, and the judge goes by it, for copies and for refusals.

--- a/crates/node/tests/random_lives/ledger.rs
+++ b/crates/node/tests/random_lives/ledger.rs
@@ -91,9 +91,36 @@
     pub history: Vec<String>,
 }
 
+/// Which next hops discard the repeats of a keyed job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    Cell,
+    Zone,
+    All,
+}
+
+impl Scope {
+    pub fn name(self) -> &'static str {
+        match self {
+            Scope::Cell => "cell",
+            Scope::Zone => "zone",
+            Scope::All => "all",
+        }
+    }
+
+    fn has(self, first: (usize, usize), second: (usize, usize)) -> bool {
+        match self {
+            Scope::Cell => first == second,
+            Scope::Zone => first.0 == second.0,
+            Scope::All => true,
+        }
+    }
+}
+
 /// What a life's settings say that the judge goes by.
 #[derive(Clone, Copy, Debug)]
 pub struct Rules {
+    pub scope: Scope,
     pub window: Duration,
     pub most_attempts: usize,
 }
@@ -156,8 +183,8 @@
         match self.class {
             Class::View => Ok(()),
             Class::Order => Err(format!("sent again to {hop}, though it may have run")),
-            Class::Register if first.cell != cell => {
-                Err(format!("sent again to {hop} of another cell, though it may have run"))
+            Class::Register if !rules.scope.has(first.cell, cell) => {
+                Err(format!("sent again to {hop} of another {}, though it may have run", rules.scope.name()))
             }
             Class::Register if earliest > first.at + rules.window + WIRE_SLACK => {
                 Err(format!("sent again to {hop} after the window for repeats"))
@@ -167,7 +194,7 @@
     }
 
     /// A whole answer has come to its client.
-    pub fn answered(&self, message: &Message) -> Result<(), String> {
+    pub fn answered(&self, message: &Message, rules: Rules) -> Result<(), String> {
         let status = message.status();
         match self.fate {
             Fate::Answered(before) => return Err(format!("answered {status} after {before}")),
@@ -175,11 +202,16 @@
             Fate::Begun => return Err(format!("answered {status} before it was whole")),
             _ => {}
         }
+        let harmless = match self.class {
+            Class::View => true,
+            Class::Order => false,
+            Class::Register => rules.scope == Scope::All,
+        };
         match status {
             200 if !self.results.contains(&message.body) => {
                 Err(format!("served with what no next hop made for it: {:?}", message.body))
             }
-            429 | 503 if self.class != Class::View && self.attempts.iter().any(Attempt::may_have_run) => {
+            429 | 503 if !harmless && self.attempts.iter().any(Attempt::may_have_run) => {
                 Err("refused, though an attempt may have run".into())
             }
             200 | 429 | 502 | 503 => Ok(()),
--- a/crates/node/tests/random_lives/life.rs
+++ b/crates/node/tests/random_lives/life.rs
@@ -15,7 +15,7 @@
 use fastrand::Rng;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
-use super::ledger::{Attempt, Class, Ended, Fate, Job, Rules, Stop};
+use super::ledger::{Attempt, Class, Ended, Fate, Job, Rules, Scope, Stop};
 use super::script::{self, Act, Hearing, Reply, Word};
 use super::wire::{End, Wire};
 use crate::common::{LONG, Message, Node, list};
@@ -168,6 +168,7 @@
         let window = rng.u64(500..1500);
         let deadlines = [0; 3].map(|_| rng.u64(1000..=2500));
         let most_attempts = rng.usize(2..=5);
+        let scope = [Scope::Cell, Scope::Cell, Scope::Zone, Scope::All][rng.usize(0..4)];
         let [view, order, register] = deadlines.map(|ms| ms * 1000);
         let settings = format!(
             r#"{{"balancers":1,"rank":0,"zone":0,"discovery":"subscribe","localities":["a","b"],"kinds":["m"],
@@ -175,13 +176,14 @@
             "services":[
             {{"name":"view","idempotency":"safe","objectiveUs":{view},"giveUpUs":{view},"worth":1.0}},
             {{"name":"order","idempotency":"unsafe","objectiveUs":{order},"giveUpUs":{order},"worth":1.0}},
-            {{"name":"register","idempotency":"keyed","keyScope":"cell","dedupWindowUs":{window}000,
+            {{"name":"register","idempotency":"keyed","keyScope":"{}","dedupWindowUs":{window}000,
             "objectiveUs":{register},"giveUpUs":{register},"worth":1.0}}],
             "limits":{{"cancel":true,"mayDuplicate":false,"mayTell":false,"sendCap":{most_attempts},
             "retryAfter":true,"maxRetryAfterUs":2000000,"connectTimeoutUs":100000,"keepaliveUs":2000000}},
             "familyInfo":{{"tellsStart":true}},
             "rules":{{"askWithinUs":2000000,"coldShare":0.5,"warmUpUs":500000,"overloadFactor":3.0,
-            "fallUs":1000000}}}}"#
+            "fallUs":1000000}}}}"#,
+            scope.name()
         );
         let known: Vec<_> = hops.iter().map(Hop::line).collect();
         let at = discoveries[0].local_addr().expect("an address");
@@ -192,7 +194,7 @@
             rng,
             node,
             settings,
-            rules: Rules { window: Duration::from_millis(window), most_attempts },
+            rules: Rules { scope, window: Duration::from_millis(window), most_attempts },
             deadlines,
             discoveries,
             index: 41,
@@ -849,7 +851,7 @@
             caller.job = None;
             caller.worn = true;
             self.note(job, format!("answered: {} {:?}", message.start, message.body));
-            if let Err(what) = self.jobs[job].answered(&message) {
+            if let Err(what) = self.jobs[job].answered(&message, self.rules) {
                 self.broken(Some(job), &what);
             }
             self.jobs[job].fate = Fate::Answered(message.status());
@@ -981,8 +983,8 @@
             return self.read_all();
         }
         let begun = Instant::now();
-        // After a first answer the node may still have in hand what came with the question: a whole machine can
-        // stand still for seconds, and then all is there at once. A second one comes after all of that.
+        // After a first answer the node may still have in hand what came with the question: a whole machine
+        // can stand still for seconds, and then all is there at once. A second one comes after all of that.
         let Some(metrics) = self.metrics().and_then(|_| self.metrics()) else { return };
         if !self.pump(LONG, |life| life.over || life.calls.iter().all(|call| !call.rest.is_empty())) {
             self.broken(None, "a call-back is not answered");
