What begins as a connection ends is read on; what rests or was given up unwritten is told apart

Cause, found in review of the joined parts: (1) sender_side.rs carry: half a head that comes in the same wake-up as the end of its connection was closed over by hyper's graceful shutdown, which knows nothing of it; (2) close ended connections a few ms old and requests half read, which the operators count as lost; (3) connection_pool.rs obtain: a resting connection outlived forget; (4) next_hop.rs: a give-up of which nothing was written forgot the connections of a healthy core worker; (5) a withdrawal taken over from the process before was repeated without end.

Change: what is being read is read to its end as the last of its connection; new connections and requests that get on are waited for in close, within its second; a connection counts only in its next hop's era; a bound of 30 s for (5).

--- a/crates/node/src/connection_pool.rs
+++ b/crates/node/src/connection_pool.rs
@@ -284,13 +284,19 @@
         while let Some(connection) = self.take_idle(to) {
             // Nobody else takes it meanwhile; who finds none idle dials.
             sleep_until(connection.idle_since + REST).await;
-            if connection.usable(Instant::now(), self.idle_life()) {
+            // Its next hop may have been forgotten while it rested.
+            if self.counts(to, &connection) && connection.usable(Instant::now(), self.idle_life()) {
                 return Ok(connection);
             }
         }
         self.dial(to).await
     }
 
+    /// Whether a connection is of its next hop's present era.
+    fn counts(&self, to: SocketAddr, connection: &Connection) -> bool {
+        self.hops.borrow().get(&to).is_some_and(|idle| Rc::ptr_eq(&idle.era, &connection.era))
+    }
+
     /// The connection that was used last of those that have rested, so that the others grow old and go; where
     /// none has, the one that will have first.
     fn take_idle(&self, to: SocketAddr) -> Option<Connection> {
--- a/crates/node/src/next_hop.rs
+++ b/crates/node/src/next_hop.rs
@@ -37,6 +37,8 @@
 /// A withdrawal that was not answered is made again after this, doubled each time up to the most.
 const WITHDRAWN_AGAIN: Duration = Duration::from_millis(50);
 const WITHDRAWN_AGAIN_MOST: Duration = Duration::from_millis(800);
+/// A withdrawal of the process before this one is made for so long.
+const TAKEN_OVER: Duration = Duration::from_secs(30);
 
 /// What passes through to a next hop, as it came.
 pub struct Parcel {
@@ -152,7 +154,8 @@
         let hops = self.clone();
         tokio::task::spawn_local(async move {
             let _busy = Busy::new(&hops.0.busy);
-            hops.withdraw(to, &id, false).await;
+            // Its next hop may be gone for good, and no job of this process ends the calls.
+            let _ = timeout(TAKEN_OVER, hops.withdraw(to, &id, false)).await;
         });
     }
 
@@ -218,8 +221,9 @@
                 Outcome::Lost
             }
             Exchange::GivenUp { written } => {
-                self.forget(to);
+                // Where nothing was written the next hop has shown no weakness: a client has left.
                 if written {
+                    self.forget(to);
                     self.call_off(to, &id, until, true).await;
                 }
                 return self.report(Notice::GivenUp(key)).await;
--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -415,6 +415,10 @@
                 // One that is cut ends by what the filter then says, when it is next polled.
                 () = connection.close.notified() => if connection.dropped.get() {
                     return false;
+                } else if connection.state.get() == ConnectionState::Reading {
+                    // hyper, which knows nothing of half a head, would close over a request that has begun in this
+                    // very moment. It is read to its end, and is the last.
+                    connection.last.set(true);
                 } else if !connection.cut.get() {
                     http.as_mut().graceful_shutdown();
                 },
@@ -457,9 +461,14 @@
     /// written.
     pub async fn close(&self) {
         let lingers = |c: &Connection| c.state.get() == ConnectionState::Lingering;
+        // A request that is under way here, on a connection that was just accepted or behind its first half, is told
+        // to come again once it is whole: closed without an answer it would be lost.
+        let begins = |c: &Connection| {
+            matches!(c.state.get(), ConnectionState::New | ConnectionState::Reading) && !c.can_yield()
+        };
         let closed = async {
             loop {
-                self.connections().iter().filter(|c| !lingers(c)).for_each(|c| c.end());
+                self.connections().iter().filter(|c| !lingers(c) && !begins(c)).for_each(|c| c.end());
                 // What waits at the listener is accepted meanwhile.
                 sleep(Duration::from_millis(5)).await;
                 let done = |c: &Rc<Connection>| lingers(c) && c.since.get().elapsed() >= LAST_LINGER;
