Tests of links and of frames lie in test files

Change: tests/unit/handover.rs and tests/unit/frame.rs of both crates hold that text, unaltered, as the module `tests` of the source: they use private parts (the decoder's bytes, sums, a link's own state), and nothing was made public for them.

--- /dev/null
+++ b/crates/operation/tests/unit/frame.rs
@@ -0,0 +1,116 @@
+//! Frames as frame.rs writes and reads them: whole, cut, damaged and foreign. A part of that module, since it
+//! looks at what the decoder holds and at sums of its own making; it makes nothing public.
+
+use super::*;
+use crate::call::Refusal;
+use crate::phase::Phase;
+use proptest::prelude::*;
+
+fn verdicts() -> impl Strategy<Value = Verdict> {
+    prop_oneof![
+        Just(Ok(())),
+        prop::sample::select(Phase::ALL.to_vec()).prop_map(|phase| Err(Refusal::NotReady(phase))),
+        ".{0,40}".prop_map(|id| Err(Refusal::NeverListed(id))),
+        any::<usize>().prop_map(|most| Err(Refusal::TooManyOut(most))),
+        Just(Err(Refusal::Ending)),
+        Just(Err(Refusal::NotDone)),
+    ]
+}
+
+fn frames() -> impl Strategy<Value = Frame> {
+    let bytes = || prop::collection::vec(any::<u8>(), 0..300).prop_map(Bytes::from);
+    let whys = vec![Why::Busy, Why::OtherNode, Why::Ending, Why::OtherVersion];
+    prop_oneof![
+        (".{0,20}", ".{0,20}").prop_map(|(node, listen)| Frame::Hello { node, listen }),
+        bytes().prop_map(Frame::Welcome),
+        prop::sample::select(whys).prop_map(Frame::TurnedAway),
+        Just(Frame::TakeOver),
+        bytes().prop_map(Frame::Yours),
+        Just(Frame::GiveBack),
+        bytes().prop_map(Frame::Word),
+        bytes().prop_map(Frame::Move),
+        any::<bool>().prop_map(Frame::Moved),
+        any::<bool>().prop_map(Frame::Heard),
+        ".{0,40}".prop_map(Frame::Claim),
+        any::<bool>().prop_map(Frame::Claimed),
+        "[!-~]{1,40}".prop_map(|id| Frame::Call(Call::Disable(id))),
+        Just(Frame::Call(Call::Undrain)),
+        verdicts().prop_map(Frame::Done),
+        (any::<u16>(), ".{0,40}")
+            .prop_map(|(port, id)| Frame::Withdraw { to: ([10, 0, 0, 1], port).into(), id }),
+    ]
+}
+
+proptest! {
+    /// Frames come out as they went in, however the bytes are cut; cut short, they are `Torn` and nothing
+    /// else.
+    #[test]
+    fn frames_survive_any_cut(
+        sent in prop::collection::vec((any::<u64>(), frames()), 0..6),
+        pieces in prop::collection::vec(1usize..400, 1..20),
+        short in 0usize..200,
+    ) {
+        let bytes: Vec<u8> =
+            sent.iter().flat_map(|(seq, frame)| frame.encode(*seq).expect("short")).collect();
+        let bytes = &bytes[..bytes.len().saturating_sub(short)];
+        let (mut decoder, mut came, mut rest) = (Decoder::default(), vec![], bytes);
+        for piece in pieces.iter().cycle() {
+            while let Some(frame) = decoder.take().expect("sound") {
+                came.push(frame);
+            }
+            if rest.is_empty() {
+                break;
+            }
+            let (now, later) = rest.split_at((*piece).min(rest.len()));
+            decoder.feed(now);
+            rest = later;
+        }
+        prop_assert_eq!(&came[..], &sent[..came.len()]);
+        let whole: usize = came.iter().map(|(_, frame)| HEADER + frame.payload().len()).sum();
+        prop_assert_eq!(decoder.end().is_ok(), whole == bytes.len());
+        prop_assert!(short > 0 || came.len() == sent.len());
+    }
+
+    /// Whatever comes, it is no panic, nothing is held beyond a frame's bound, and an error stays.
+    #[test]
+    fn any_bytes_are_frames_or_an_error(
+        seq in any::<u64>(), frame in frames(), at in any::<prop::sample::Index>(), to in any::<u8>(),
+    ) {
+        let mut bytes = frame.encode(seq).expect("short").to_vec();
+        let at = at.index(bytes.len());
+        let same = bytes[at] == to;
+        bytes[at] = to;
+        let mut decoder = Decoder::default();
+        decoder.feed(&bytes);
+        let said = decoder.take();
+        prop_assert_eq!(said.as_ref().is_ok_and(|frame| frame.is_some()), same, "{:?}", said);
+        prop_assert!(decoder.held.capacity() <= HEADER + LONGEST_HERITAGE + bytes.len());
+        if said.is_err() {
+            prop_assert_eq!(decoder.take(), said);
+        }
+    }
+}
+
+#[test]
+fn each_bad_frame_has_its_own_error() {
+    let edited = |kind: u8, edit: &dyn Fn(&mut Vec<u8>)| {
+        let mut bytes = Frame::Heard(true).encode(7).expect("short").to_vec();
+        bytes[5] = kind;
+        let fresh = sum(kind, 7, &bytes[HEADER..]).to_be_bytes();
+        bytes[18..22].copy_from_slice(&fresh);
+        edit(&mut bytes);
+        let mut decoder = Decoder::default();
+        decoder.feed(&bytes);
+        decoder.take().expect_err("bad")
+    };
+    assert_eq!(edited(8, &|b| b[0] = b'G'), FrameError::Foreign);
+    assert_eq!(edited(8, &|b| b[4] = 9), FrameError::OtherVersion { theirs: 9, ours: VERSION });
+    assert_eq!(edited(8, &|b| b[HEADER] ^= 1), FrameError::BadSum);
+    assert_eq!(edited(8, &|b| b[14] = 1), FrameError::TooLong { length: (1 << 24) + 4 });
+    assert_eq!(edited(200, &|_| {}), FrameError::Malformed { kind: 200 });
+    assert_eq!(edited(12, &|_| {}), FrameError::Malformed { kind: 12 });
+    let long = |length: usize| Bytes::from(vec![0; length]);
+    assert!(Frame::Yours(long(LONGEST_HERITAGE)).encode(0).is_ok());
+    assert!(Frame::Yours(long(LONGEST_HERITAGE + 1)).encode(0).is_err());
+    assert!(Frame::Word(long(LONGEST_OTHER + 1)).encode(0).is_err());
+}
