Lines that the narrow moments touched keep to 110 columns

Need: 36 lines of comments of that work were wider than the 110 columns that the house allows; rustfmt leaves comments alone. Change: they are wrapped again. A message and a text of a test that were too wide are written in two pieces and are the same.

--- a/crates/core/src/dispatcher.rs
+++ b/crates/core/src/dispatcher.rs
@@ -138,8 +138,8 @@
         self.arm(now, out);
     }
 
-    /// How long a keyed repeat may take to reach its worker. Where 202s tell, it is an attempt on sockets, whose
-    /// connection may come up late: a worker that is reached after the window runs the repeat as well.
+    /// How long a keyed repeat may take to reach its worker. Where 202s tell, it is an attempt on sockets,
+    /// whose connection may come up late: a worker that is reached after the window runs the repeat as well.
     pub(crate) fn on_its_way(&self) -> Micros {
         WINDOW_MARGIN.max(self.settings.accepts_within)
     }
--- a/crates/core/src/heritage.rs
+++ b/crates/core/src/heritage.rs
@@ -218,7 +218,8 @@
             && moved.attempts.len() <= MAX_ATTEMPTS
     }
 
-    /// Takes a job on that another process of this node let go, under a number of this one's. False where it cannot be one.
+    /// Takes a job on that another process of this node let go, under a number of this one's. False where it
+    /// cannot be one.
     pub fn adopt(&mut self, now: Micros, id: JobId, moved: &MovedJob, out: &mut Vec<Action>) -> bool {
         if !self.knows(moved) || self.jobs.contains_key(&id) {
             return false;
--- a/crates/core/src/ledger.rs
+++ b/crates/core/src/ledger.rs
@@ -482,9 +482,9 @@
     }
 }
 
-/// What a job of a class is usually at work, s at a speed of 1: what jobs without a hint are reckoned with. Work is summed
-/// up by its mean, while speeds are learned as a middle of logarithms; taking one for the other lets cold workers be
-/// sent twice what they can do, as work has a long tail.
+/// What a job of a class is usually at work, s at a speed of 1: what jobs without a hint are reckoned with.
+/// Work is summed up by its mean, while speeds are learned as a middle of logarithms; taking one for the
+/// other lets cold workers be sent twice what they can do, as work has a long tail.
 #[derive(Clone, Copy)]
 struct Usual {
     mean: f64,
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -1208,7 +1208,8 @@
             node.end(job, 0, Outcome::Done);
         }
     }
-    // 0.4 s have passed: all of it lies within one window of a second, for which three times a fifth is allowed.
+    // 0.4 s have passed: all of it lies within one window of a second, for which three times a fifth is
+    // allowed.
     let allowed = 3.0 * (0.2 + 0.8 * 0.4 / 20.0) * 1.0;
     assert!(sends >= 1, "it is used");
     assert!(f64::from(sends) * 0.245 <= allowed, "{sends} jobs, {allowed} s allowed");
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -23,8 +23,8 @@
 use crate::handover::MOVE_TIME;
 use crate::logs::DISPATCH;
 
-/// Room in the queue, beside the place that each open job holds for the news that its client has gone: were those
-/// of one room, jobs could fill it, and nothing that ends a job would reach the task any more.
+/// Room in the queue, beside the place that each open job holds for the news that its client has gone: were
+/// those of one room, jobs could fill it, and nothing that ends a job would reach the task any more.
 const QUEUE_ROOM: usize = 4096;
 
 /// The queue of a node that has at most so many connections, each with one job.
@@ -32,8 +32,8 @@
     mpsc::channel(QUEUE_ROOM + connections)
 }
 
-/// A job that has no longer than this left stays where it is: were the other process to keep silent while it is on its
-/// way there, its answer would come too late. Half a second is for what comes after.
+/// A job that has no longer than this left stays where it is: were the other process to keep silent while it
+/// is on its way there, its answer would come too late. Half a second is for what comes after.
 const TOO_LATE_TO_MOVE: Micros = MOVE_TIME.as_micros() as Micros + 500_000;
 
 /// Microseconds since the Unix epoch that never go back: read once from the system, then counted on.
@@ -306,8 +306,8 @@
     ids: HashMap<Rc<str>, JobId>,
     /// Jobs on their way to the other process of this node.
     leaving: HashMap<JobId, (Moved, Held<C::Parcel>)>,
-    /// Jobs on their way from there, until the other process has been told that they are held here. Nothing is done for
-    /// them before that: it may take them back.
+    /// Jobs on their way from there, until the other process has been told that they are held here. Nothing
+    /// is done for them before that: it may take them back.
     coming: HashMap<JobId, Coming<C::Parcel>>,
     hops: HashMap<WorkerId, (Rc<str>, SocketAddr)>,
     /// Next hops that operators have taken out.
@@ -663,8 +663,9 @@
             Word::Started | Word::Running(_) if matches!(attempt.stage, Stage::GivingUp(_)) => {
                 return self.counters.add(Counter::CallbacksIdle);
             }
-            // That next hop has taken this one on as well. Whether it says so of this one or once more of the one
-            // before cannot be told: this one may run, and is withdrawn before anything else becomes of its job.
+            // That next hop has taken this one on as well. Whether it says so of this one or once more of the
+            // one before cannot be told: this one may run, and is withdrawn before anything else becomes of
+            // its job.
             Word::Failed | Word::Returned | Word::Lost if repeat => return self.give_up(key, Outcome::Error),
             Word::Started => {
                 debug!(target: DISPATCH, request_id = id, attempt = number, from, "attempt started");
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -552,8 +552,8 @@
         client: OwnedFd,
         /// Whether it is held.
         held: oneshot::Sender<bool>,
-        /// What was said has gone out, and counts: the other process will have read it, or is no more. Where this is
-        /// dropped, it has not, and the job is the other's.
+        /// What was said has gone out, and counts: the other process will have read it, or is no more. Where
+        /// this is dropped, it has not, and the job is the other's.
         said: oneshot::Receiver<()>,
     },
     /// A withdrawal that is this process's from now on.
@@ -646,8 +646,8 @@
         *self.0.up.borrow()
     }
 
-    /// Gives the link up: both ends lose it. Whatever waits for an answer goes without one that was not written before:
-    /// what was is read yet, since the other process goes by it.
+    /// Gives the link up: both ends lose it. Whatever waits for an answer goes without one that was not
+    /// written before: what was is read yet, since the other process goes by it.
     pub fn close(&self) {
         if !self.0.up.send_replace(false) {
             return;
@@ -986,7 +986,8 @@
         *self.link.borrow_mut() = link;
     }
 
-    /// The link is lost. Whoever was at its other end is gone, or has given the link up and serves on by itself.
+    /// The link is lost. Whoever was at its other end is gone, or has given the link up and serves on by
+    /// itself.
     pub fn lose(&self) {
         let link = self.link.take();
         let pid = link.and_then(|link| link.0.stream.peer_cred().ok()?.pid()).and_then(Pid::from_raw);
--- a/crates/node/src/next_hop.rs
+++ b/crates/node/src/next_hop.rs
@@ -245,8 +245,8 @@
     /// heard it goes on with the job, and another attempt beside that would be a second copy.
     ///
     /// `closed`: the attempt's connection was closed before its 202, which gives it up as well, but on a cut
-    /// network never arrives. A connection that comes up after that, or is refused, shows that the network carries
-    /// it: a next hop that then still says nothing hangs, with the closing and this call before it.
+    /// network never arrives. A connection that comes up after that, or is refused, shows that the network
+    /// carries it: a next hop that then still says nothing hangs, with the closing and this call before it.
     async fn withdraw(&self, to: SocketAddr, id: &str, closed: bool) {
         let request = || {
             Request::delete(format!("/jobs/{id}")).header(HOST, to.to_string()).body(Full::new(Bytes::new()))
@@ -257,8 +257,8 @@
             let longest = self.0.tuning.get().withdrawal_ms.millis();
             let heard = match self.exchange(to, request, &mut None, &mut false, longest).await {
                 Exchange::Answered(..) => true,
-                // A refusal as well comes over a network that carries the closing. Of a job that was taken on it
-                // says nothing: a next hop that holds as many connections as it may refuses others.
+                // A refusal as well comes over a network that carries the closing. Of a job that was taken on
+                // it says nothing: a next hop that holds as many connections as it may refuses others.
                 Exchange::Refused => closed,
                 Exchange::Silent { fresh } => closed && fresh,
                 _ => false,
--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -180,8 +180,8 @@
     }
 }
 
-/// Whose share a job counts against: by name, or by its place in the settings. Where there are tenants a job of nobody's
-/// would count against nobody's share.
+/// Whose share a job counts against: by name, or by its place in the settings. Where there are tenants a job
+/// of nobody's would count against nobody's share.
 fn tenant(names: &[String], named: Option<&str>) -> Result<TenantId, Malformed> {
     let place = |name: &str| {
         let place = || name.parse().ok().filter(|place| *place < names.len());
@@ -416,8 +416,8 @@
                 () = connection.close.notified() => if connection.dropped.get() {
                     return false;
                 } else if connection.state.get() == ConnectionState::Reading {
-                    // hyper, which knows nothing of half a head, would close over a request that has begun in this
-                    // very moment. It is read to its end, and is the last.
+                    // hyper, which knows nothing of half a head, would close over a request that has begun in
+                    // this very moment. It is read to its end, and is the last.
                     connection.last.set(true);
                 } else if !connection.cut.get() {
                     http.as_mut().graceful_shutdown();
@@ -461,8 +461,8 @@
     /// written.
     pub async fn close(&self) {
         let lingers = |c: &Connection| c.state.get() == ConnectionState::Lingering;
-        // A request that is under way here, on a connection that was just accepted or behind its first half, is told
-        // to come again once it is whole: closed without an answer it would be lost.
+        // A request that is under way here, on a connection that was just accepted or behind its first half,
+        // is told to come again once it is whole: closed without an answer it would be lost.
         let begins = |c: &Connection| {
             matches!(c.state.get(), ConnectionState::New | ConnectionState::Reading) && !c.can_yield()
         };
@@ -637,8 +637,8 @@
         moving.await.ok().flatten().unwrap_or(false)
     }
 
-    /// Takes a job on that the other process of this node has moved here, and answers its client. `said`: the other process
-    /// will have read that it is held here.
+    /// Takes a job on that the other process of this node has moved here, and answers its client. `said`: the
+    /// other process will have read that it is held here.
     pub async fn adopt(
         self,
         job: Bytes,
--- a/crates/node/src/transport_map.rs
+++ b/crates/node/src/transport_map.rs
@@ -28,23 +28,23 @@
 use crate::logs::TRANSPORT_MAP;
 use crate::next_hop::Parcel;
 
-/// A watch sends a line every 2 s. One that is late by half of that, on a slow network or machine, is not silent
-/// yet: all nodes would call at once.
+/// A watch sends a line every 2 s. One that is late by half of that, on a slow network or machine, is not
+/// silent yet: all nodes would call at once.
 const SILENCE: Duration = Duration::from_millis(3000);
 /// Discovery serves calls one after another and gives up those that wait for 2 s.
 const ANSWER: Duration = Duration::from_millis(2200);
 const CONNECT: Duration = Duration::from_millis(700);
 /// Discovery serves a call in less than this.
 const CALL: Duration = Duration::from_millis(70);
-/// A call that has not begun by then hangs, where discovery could have served all nodes. What a silent watch has
-/// to tell counts as told after 6 s, and work must stop 0.75 s later, 6.75 s in all. Silence is seen after 3 s; a
-/// call goes out in this node's turn, 1.2 s later at most; the next 1.2 s after it, at 5.4 s: it has 1.35 s,
-/// which is all that discovery needs for one call of each node.
+/// A call that has not begun by then hangs, where discovery could have served all nodes. What a silent watch
+/// has to tell counts as told after 6 s, and work must stop 0.75 s later, 6.75 s in all. Silence is seen
+/// after 3 s; a call goes out in this node's turn, 1.2 s later at most; the next 1.2 s after it, at 5.4 s: it
+/// has 1.35 s, which is all that discovery needs for one call of each node.
 const LOST: Duration = Duration::from_millis(1200);
 /// So many calls fit into that time. Then the module is told, which calls ever more rarely.
 const UNASKED: u32 = 2;
-/// Where lists are pushed, what discovery has at its return counts at once, and work must stop 0.75 s later: the
-/// next call follows a failed one after this, or twice that, up to 0.4 s.
+/// Where lists are pushed, what discovery has at its return counts at once, and work must stop 0.75 s later:
+/// the next call follows a failed one after this, or twice that, up to 0.4 s.
 const RETRY: Duration = Duration::from_millis(50);
 const RETRY_DOUBLINGS: u32 = 3;
 const RETRY_MOST: Duration = Duration::from_millis(400);
@@ -142,7 +142,8 @@
     Unreachable(io::Error),
     /// No connection came up.
     #[error(
-        "discovery cannot be reached in time; see that its machine runs and that the network lets calls through"
+        "discovery cannot be reached in time; see that its machine runs and that the network \
+         lets calls through"
     )]
     NoConnection,
     /// What is there does not speak HTTP, or the connection broke before an answer.
@@ -192,13 +193,15 @@
     }
 }
 
-/// Finds the lists in what a watch brings, however it is cut into pieces and indented. Looks at each byte once.
+/// Finds the lists in what a watch brings, however it is cut into pieces and indented. Looks at each byte
+/// once.
 #[derive(Default)]
 struct Scan {
     text: BytesMut,
     /// So much of the text has been looked at.
     at: usize,
-    /// Braces and brackets that are open there, and whether it stands in a string, and behind a backslash there.
+    /// Braces and brackets that are open there, and whether it stands in a string, and behind a backslash
+    /// there.
     depth: usize,
     string: bool,
     escaped: bool,
@@ -262,8 +265,8 @@
 /// comes back, in the moment in which that is dropped.
 type Connection = Box<hyper::client::conn::http1::Connection<TokioIo<TcpStream>, Empty<Bytes>>>;
 
-/// What `poll` waits for, while the connection is driven. First the connection: what it has read counts before
-/// any time-out.
+/// What `poll` waits for, while the connection is driven. First the connection: what it has read counts
+/// before any time-out.
 async fn drive<T>(
     connection: &mut Option<Connection>,
     mut poll: impl FnMut(&mut Context<'_>) -> Poll<T>,
@@ -318,8 +321,8 @@
         }
     }
 
-    /// The next list; none where an empty line says that nothing has changed. May be dropped and called again:
-    /// what was read and the time of it stay with the watch.
+    /// The next list; none where an empty line says that nothing has changed. May be dropped and called
+    /// again: what was read and the time of it stay with the watch.
     async fn next(&mut self) -> Result<Option<ListMessage>, WatchError> {
         loop {
             if let Some(list) = self.scan.next()? {
@@ -383,8 +386,8 @@
     Line(u32, Result<Option<ListMessage>, WatchError>),
 }
 
-/// The one place that knows which watch is open, which calls are under way, and when the next is due. While none
-/// of these is at discovery's address, the dispatch task has been told that the list failed, and asks.
+/// The one place that knows which watch is open, which calls are under way, and when the next is due. While
+/// none of these is at discovery's address, the dispatch task has been told that the list failed, and asks.
 struct Calls {
     pace: Pace,
     discovery: SocketAddr,
@@ -427,8 +430,8 @@
         self.live.as_ref().is_some_and(|live| live.era == self.era) || self.calls() || self.due.is_some()
     }
 
-    /// Discovery has another address. What is open or under way at the old one goes on until a watch has begun
-    /// at the new: it may still tell of changes.
+    /// Discovery has another address. What is open or under way at the old one goes on until a watch has
+    /// begun at the new: it may still tell of changes.
     fn moved(&mut self, to: SocketAddr) {
         self.discovery = to;
         self.era += 1;
@@ -530,8 +533,8 @@
         stood && !self.stands()
     }
 
-    /// While a watch at an old address is open its lists keep the dispatch task from asking: then the next call
-    /// is made unasked, in this node's turn.
+    /// While a watch at an old address is open its lists keep the dispatch task from asking: then the next
+    /// call is made unasked, in this node's turn.
     fn bridged(&mut self) {
         if self.live.is_some() && !self.stands() {
             self.due = Some(Instant::now() + LOST + self.pace.turn);
--- a/crates/node/tests/moves/mod.rs
+++ b/crates/node/tests/moves/mod.rs
@@ -1,5 +1,5 @@
-//! The dispatch task's narrow moments: words that cross, jobs on their way between two processes of a node, and
-//! settings of other customers.
+//! The dispatch task's narrow moments: words that cross, jobs on their way between two processes of a node,
+//! and settings of other customers.
 
 use std::io::{ErrorKind, IoSlice, Read, Write};
 use std::mem::MaybeUninit;
@@ -100,8 +100,8 @@
     assert_eq!(answer(client).status(), 200);
 }
 
-/// The other process of a node, as the test plays it: it answers what is moved to it when the test says so. The
-/// descriptors that come to it are closed.
+/// The other process of a node, as the test plays it: it answers what is moved to it when the test says so.
+/// The descriptors that come to it are closed.
 struct Other {
     stream: UnixStream,
     decoder: Decoder,
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -520,8 +520,12 @@
 
 #[test]
 fn a_job_counts_against_its_own_tenants_share_and_one_of_nobody_is_malformed() {
-    // The first tenant may hardly send anything: a job beyond its share waits for room to spare, and there is none.
-    let tenants = r#""customers":[{"name":"marl","quotaPerS":0.001},{"name":"tern","quotaPerS":1000}],"overShareWorth":0.01,"#;
+    // The first tenant may hardly send anything: a job beyond its share waits for room to spare, and there is
+    // none.
+    let tenants = concat!(
+        r#""customers":[{"name":"marl","quotaPerS":0.001},{"name":"tern","quotaPerS":1000}],"#,
+        r#""overShareWorth":0.01,"#
+    );
     let settings = |discovery, known: &[String]| {
         config(discovery, known).replace(r#""settings":{"#, &format!(r#""settings":{{{tenants}"#))
     };
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -59,10 +59,11 @@
     1.0
 }
 
-/// No span of time is longer than a year, in microseconds: whatever stands for 'without end' must not run over where
-/// a moment is reckoned from it.
+/// No span of time is longer than a year, in microseconds: whatever stands for 'without end' must not run
+/// over where a moment is reckoned from it.
 const LONGEST: Micros = 365 * 86_400 * 1_000_000;
-/// A connection is up within this where the settings do not say, or say 0, by which nothing could ever be sent.
+/// A connection is up within this where the settings do not say, or say 0, by which nothing could ever be
+/// sent.
 const USUAL_CONNECT: Micros = 500_000;
 /// A connection stays open this long at least where the settings do not say.
 const USUAL_KEEPALIVE: Micros = 1_000_000;
@@ -231,7 +232,8 @@
     })
 }
 
-/// The name under which the platform writes a field of the decisions' settings, and what would be right there.
+/// The name under which the platform writes a field of the decisions' settings, and what would be right
+/// there.
 fn written(field: &str) -> (&str, &'static str) {
     match field {
         "classes" => ("services", "name one class of requests at least"),
