A test of drains asks READY once the list is there

Seen: on a machine with a load of 14 to 24 the first READY of that test was answered 'starting' once in 25 runs. Cause: the line with the second address is written before the first turn of the task that counts the saved list; the test took one for the other. Change: it waits for /ready to say yes, by asking, and then asserts as before.

--- a/crates/node/tests/operation/mod.rs
+++ b/crates/node/tests/operation/mod.rs
@@ -11,6 +11,8 @@
     let hop = Server::start();
     let (node, _watch, _discovery) = Node::configured(&[("s-1", &hop)], operated);
     let operators = node.operators();
+    // The line that says where operators are answered comes before the list has been looked at.
+    while node.get("/ready").status() != 200 {}
     assert_eq!(call(operators, "READY\n"), "+OK");
     let (mut idle, mut busy) = (Client::connect(node.address), Client::connect(node.address));
     // One that was used once may stand idle for a minute.
