Tests: half a head that comes just as the node ends its connection

Nothing forced a request to begin in the very wake-up in which its connection is ended: hyper, which knows nothing of half a head, closed over it, and the end of the node closed over one that it had begun to read. A stopped process does not show it, since its wait is broken off without the bytes that came meanwhile, and its times run out first. The node is therefore held at the read of its configuration, a pipe that says nothing until the test does: then the end of the drain and the bytes come to it in one turn. Both tests take an idle connection and one on which nothing had come.

--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -414,6 +414,20 @@
         self.signal("-HUP");
     }
 
+    /// Holds the node still until what comes back is dropped: it reads its configuration, which is a pipe that says
+    /// nothing until then. What comes meanwhile comes to it all at once, with the times that are up.
+    pub fn hold(&self) -> Held {
+        let text = std::fs::read_to_string(&self.file).expect("its configuration");
+        std::fs::remove_file(&self.file).expect("it is a file");
+        assert!(Command::new("mkfifo").arg(&self.file).status().expect("mkfifo is there").success());
+        self.signal("-HUP");
+        // Returns once the node opens the other end.
+        let pipe = std::fs::OpenOptions::new().write(true).open(&self.file).expect("it is read");
+        std::fs::remove_file(&self.file).expect("it is a pipe");
+        std::fs::write(&self.file, &text).expect("a place for the configuration");
+        Held { pipe, text }
+    }
+
     /// A node that knows these next hops, its open watch, and discovery.
     pub fn with(hops: &[(&str, &Server)]) -> (Node, Watch, Server) {
         Node::configured(hops, config)
@@ -482,6 +496,19 @@
     }
 }
 
+/// A node that is held still.
+pub struct Held {
+    pipe: std::fs::File,
+    text: String,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        // A node that has been killed meanwhile reads it no more.
+        let _ = self.pipe.write_all(self.text.as_bytes());
+    }
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         if let Some(child) = &mut self.child {
--- a/crates/node/tests/connections/mod.rs
+++ b/crates/node/tests/connections/mod.rs
@@ -343,3 +343,85 @@
     assert_eq!(answer(client).status(), 200);
     assert!(!hop.has_more());
 }
+
+/// Clients whose half a head comes to the node in the moment in which its drain is over and it ends their
+/// connections, an idle one and one on which nothing had come; and the other halves. None where the node was
+/// held still too late, which shows nothing.
+fn begun_as_the_drain_ends(node: &Node, requests: &[String; 2]) -> Option<Vec<(TcpStream, String)>> {
+    // Its drain begins later than the other's, so that the other's is over once this one has ended.
+    let (clock, _watch, _discovery) = Node::with(&[]);
+    let control = idle(node);
+    let begun = [idle(node), write(node.address, "")];
+    // All of them are accepted.
+    node.get("/ready");
+    node.signal("-TERM");
+    node.says_of("drains");
+    let held = node.hold();
+    control.set_nonblocking(true).expect("a stream");
+    if control.peek(&mut [0]).is_ok() {
+        return None;
+    }
+    control.set_nonblocking(false).expect("a stream");
+    clock.signal("-TERM");
+    assert!(clock.end().status.success());
+    let mut clients = Vec::new();
+    for (mut client, request) in begun.into_iter().zip(requests) {
+        let (half, rest) = request.split_at(30);
+        client.write_all(half.as_bytes()).expect("it reads");
+        clients.push((client, rest.to_owned()));
+    }
+    drop(held);
+    ended(control);
+    Some(clients)
+}
+
+#[test]
+fn half_a_head_that_comes_as_the_node_ends_its_connection_is_read_on_and_served() {
+    let shown = (0..20).any(|_| {
+        let (node, watch, _discovery) = Node::with(&[]);
+        // A job that waits, since no next hop is there, keeps the node from ending.
+        let first = write(node.address, &job("r1", "view", 9.0, ""));
+        until("it is taken", || node.count("curlewusher_jobs_taken_total") == 1);
+        let requests = ["r2", "r3"].map(|id| job(id, "view", 9.0, ""));
+        let Some(mut begun) = begun_as_the_drain_ends(&node, &requests) else { return false };
+        for (client, rest) in &mut begun {
+            client.write_all(rest.as_bytes()).expect("it reads on");
+        }
+        let hop = Server::start();
+        watch.line(&list(43, false, &[endpoint("s-1", hop.address, "in_service")]));
+        for _ in 0..=begun.len() {
+            let got = hop.request();
+            got.answer("202 Accepted");
+            let id = got.message.header("x-request-id").expect("an id");
+            node.tell(id, "s-1", r#""state":"done","result":"x""#);
+        }
+        for client in begun.into_iter().map(|(client, _)| client).chain([first]) {
+            let answer = answer(client);
+            assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+        }
+        assert!(node.end().status.success());
+        true
+    });
+    assert!(shown, "the node was never held still in time");
+}
+
+#[test]
+fn half_a_head_that_comes_as_all_is_answered_is_told_to_come_again_once_it_is_whole() {
+    let shown = (0..20).any(|_| {
+        let hop = Server::start();
+        let (node, _watch, _discovery) = Node::with(&[("s-1", &hop)]);
+        let requests = ["r1", "r2"].map(|id| job(id, "view", 9.0, ""));
+        let Some(mut begun) = begun_as_the_drain_ends(&node, &requests) else { return false };
+        for (client, rest) in &mut begun {
+            client.write_all(rest.as_bytes()).expect("it reads on");
+        }
+        for (client, _) in begun {
+            let answer = answer(client);
+            assert_eq!((answer.status(), answer.header("connection")), (503, Some("close")));
+        }
+        assert!(node.end().status.success());
+        assert!(!hop.has_more());
+        true
+    });
+    assert!(shown, "the node was never held still in time");
+}
