Test: a connection that rests while its next hop is started anew carries no job

A connection that is taken rests for 30 ms before its job is written. A list that tells of a start in that time forgets the idle connections of the hop, but not this one, which then carried the job to a process that is gone. The test has the list come behind the job; where the job was written first, which shows nothing, it tries again.

--- a/crates/node/tests/links/mod.rs
+++ b/crates/node/tests/links/mod.rs
@@ -412,3 +412,33 @@
         serve(&newer, client, &got, "s-1", id);
     }
 }
+
+/// A node whose idle connections are of use for longer than any test may take, and one next hop.
+fn with_lasting_connections(hop: &Server) -> (Node, Watch, String) {
+    let discovery = Server::start();
+    let known = endpoint("s-1", hop.address, "in_service");
+    let config = config(discovery.address, std::slice::from_ref(&known));
+    let node = Node::start_with(&config, "[next_hop]\nreuse_ms = 600000\n");
+    let watch = Watch::open(&discovery);
+    watch.line(&list(42, true, std::slice::from_ref(&known)));
+    (node, watch, known)
+}
+
+#[test]
+fn a_connection_that_rests_while_its_next_hop_is_started_anew_carries_no_job() {
+    // It rests for a moment only. Where the job was written before the node had heard of the start, the test
+    // was too slow and shows nothing.
+    let shown = (0..20).any(|_| {
+        let hop = Server::start();
+        let (node, watch, known) = with_lasting_connections(&hop);
+        let (client, first) = sent(&node, &hop, "r1", "order", 8.0);
+        serve(&node, client, &first, "s-1", "r1");
+        let client = write(node.address, &job("r2", "order", 8.0, ""));
+        until_count(&node, "curlewusher_jobs_taken_total", 2);
+        watch.line(&list(43, false, &[known.replace(r#""since_ms":0"#, r#""since_ms":1700000000000"#)]));
+        let second = hop.request();
+        serve(&node, client, &second, "s-1", "r2");
+        second.connection != first.connection
+    });
+    assert!(shown, "a job goes out on a connection to a process that is gone");
+}
