Bytes that were seen are read before their connection is ended

Cause, by reading: in carry, bytes can lie in the socket that the peek sees and whose readiness has not come yet; the filter drops its wish to cut and waits, and the close branch, which finds neither Reading nor cut, closed over them: a new connection without an answer. Not forced: the window lies between the kernel and one turn of the node. Change: a connection on which something lies unread is read on, as its last, like one in Reading.

--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -259,7 +259,7 @@
     }
 
     /// Whether something has come that was not read.
-    fn unread(&self) -> bool {
+    pub fn unread(&self) -> bool {
         let mut byte = [std::mem::MaybeUninit::uninit()];
         !socket2::SockRef::from(&self.stream)
             .peek(&mut byte)
--- a/crates/node/src/sender_side.rs
+++ b/crates/node/src/sender_side.rs
@@ -415,7 +415,7 @@
                 // One that is cut ends by what the filter then says, when it is next polled.
                 () = connection.close.notified() => if connection.dropped.get() {
                     return false;
-                } else if connection.state.get() == ConnectionState::Reading {
+                } else if connection.state.get() == ConnectionState::Reading || filter.borrow().unread() {
                     // hyper, which knows nothing of half a head, would close over a request that has begun in
                     // this very moment. It is read to its end, and is the last.
                     connection.last.set(true);
