--- a/crates/node/src/discovery/watch_state.rs
+++ b/crates/node/src/discovery/watch_state.rs
@@ -114,6 +114,13 @@
     is_poll: bool,
 }
 
+impl WatchFailure {
+    /// Whether a poll failed and not an open watch.
+    pub fn is_poll(&self) -> bool {
+        self.is_poll
+    }
+}
+
 /// The open watch, the polls in flight, and the time of the next poll. See the module's documentation for the
 /// states.
 pub struct WatchState {
--- a/crates/node/src/discovery/watcher.rs
+++ b/crates/node/src/discovery/watcher.rs
@@ -76,7 +76,10 @@
             }
             WatcherEvent::State(event) => match state.apply_event(event) {
                 None => Ok(()),
-                Some(WatchUpdate::Confirmed) => self.notify(DispatchMessage::EndpointsConfirmed).await,
+                Some(WatchUpdate::Confirmed) => {
+                    debug!(target: DISCOVERY, "endpoint list confirmed");
+                    self.notify(DispatchMessage::EndpointsConfirmed).await
+                }
                 Some(WatchUpdate::List(update)) => self.pass_on_list(update).await,
                 Some(WatchUpdate::Failed(failure)) => self.handle_failure(state, failure).await,
             },
@@ -99,7 +102,8 @@
         failure: WatchFailure,
     ) -> Result<(), DispatchStopped> {
         self.metrics.add(Counter::EndpointWatchFailures);
-        warn!(target: DISCOVERY, "transport map: {}", failure.error);
+        let call = if failure.is_poll() { "poll" } else { "watch" };
+        warn!(target: DISCOVERY, call, is_current = failure.is_current, "transport map: {}", failure.error);
         if failure.is_current && matches!(failure.error, WatchError::Malformed(_)) {
             self.notify(DispatchMessage::EndpointsUnreadable).await?;
         }
--- a/crates/node/src/dispatch/task/actions.rs
+++ b/crates/node/src/dispatch/task/actions.rs
@@ -108,6 +108,7 @@
             attempt = id.number,
             worker = %worker_name,
             %address,
+            may_be_written_for_us = spec.send_by.map(|moment| moment.saturating_sub(self.clock.now())),
             "attempt sent"
         );
         self.transport.start_attempt(AttemptRequest {
