Tests that fail: sends by a list that no answer of discovery covers

Need: the incident. 44 requests went to workers that had left, the first 0.4 s before those were back. Change: a test on real processes (a restarted process sends by its saved list) and two on the core (a failed poll and the end of a watch prolong the list).

--- /dev/null
+++ b/crates/core/tests/decisions/endpoint_lease.rs
@@ -0,0 +1,95 @@
+//! Endpoint lease: nothing is sent by a list that discovery has not confirmed for too long, whatever else happens.
+
+use crate::common::*;
+
+const NOTIFIED_WITHIN: Micros = 6 * SECOND;
+/// After a drain counts as notified nothing may be sent to that worker later than this.
+const STOP_SENDING_WITHIN: Micros = 750_000;
+const POLL_DURATION: Micros = 5_000;
+const FAILING_POLL_DURATION: Micros = 2 * SECOND;
+const OBSERVED: Micros = 40 * SECOND;
+
+fn lease_settings(nodes: u32) -> Settings {
+    Settings {
+        endpoints_on_request: true,
+        assumed_notified_after: NOTIFIED_WITHIN,
+        ..node_settings(nodes, 0)
+    }
+}
+
+/// A process that has read its saved list and has no answer of discovery yet.
+fn starting_process(nodes: u32) -> TestNode {
+    let mut node = TestNode::starting(lease_settings(nodes), 7);
+    node.handle(Event::TimerExpired);
+    node.list(&endpoints(4));
+    node
+}
+
+/// A node whose first poll was answered by a list at this moment.
+fn watching_node(nodes: u32) -> TestNode {
+    let mut node = starting_process(nodes);
+    while !node.advance(10_000).contains(&Action::WatchEndpoints) {}
+    node.now += POLL_DURATION;
+    node.handle(Event::PollAnswered { duration: POLL_DURATION });
+    node.list(&endpoints(4));
+    node.handle(Event::EndpointsConfirmed);
+    node
+}
+
+/// The times of all sends while each poll fails and a job is submitted every 0.2 s. Each job is served at once.
+fn sends_while_polls_fail(node: &mut TestNode) -> Vec<Micros> {
+    let (end, mut sends, mut fails_at) = (node.now + OBSERVED, Vec::new(), None);
+    for job in 1.. {
+        let mut actions = node.submit(job, 0, 0.02);
+        actions.extend(node.advance(200_000));
+        if fails_at.is_some_and(|at| at <= node.now) {
+            fails_at = None;
+            actions.extend(node.handle(Event::WatchFailed));
+        }
+        for action in actions {
+            match action {
+                Action::WatchEndpoints => fails_at = Some(node.now + FAILING_POLL_DURATION),
+                Action::SendAttempt { job, .. } => {
+                    sends.push(node.now);
+                    node.end(job.0, 0, Outcome::Done);
+                }
+                _ => {}
+            }
+        }
+        if node.now >= end {
+            break;
+        }
+    }
+    sends
+}
+
+#[test]
+fn polls_fail_then_the_list_is_not_extended_by_that() {
+    for nodes in [1, 3, 30, 300] {
+        let mut node = watching_node(nodes);
+        let confirmed_at = node.now;
+        node.advance(SECOND);
+        node.handle(Event::WatchFailed);
+        let sends = sends_while_polls_fail(&mut node);
+        let limit = confirmed_at + NOTIFIED_WITHIN + STOP_SENDING_WITHIN;
+        let late = sends.iter().filter(|at| **at > limit).count();
+        assert_eq!(late, 0, "{nodes} nodes: of {} sends", sends.len());
+        assert!(
+            sends.iter().any(|at| *at > confirmed_at + NOTIFIED_WITHIN / 2),
+            "{nodes} nodes: it serves on"
+        );
+    }
+}
+
+#[test]
+fn watch_ends_then_the_list_is_as_old_as_the_last_event_of_the_watch() {
+    for silence in [500_000, 1_900_000] {
+        let mut node = watching_node(300);
+        let confirmed_at = node.now;
+        node.advance(silence);
+        node.handle(Event::WatchFailed);
+        let sends = sends_while_polls_fail(&mut node);
+        let limit = confirmed_at + NOTIFIED_WITHIN + STOP_SENDING_WITHIN;
+        assert!(sends.iter().all(|at| *at <= limit), "{silence}: {sends:?} after {limit}");
+    }
+}
--- a/crates/core/tests/decisions/main.rs
+++ b/crates/core/tests/decisions/main.rs
@@ -7,6 +7,7 @@
 mod affinity;
 mod deadlines;
 mod ejection;
+mod endpoint_lease;
 mod estimates;
 mod gossip;
 mod hedging;
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -3,6 +3,7 @@
 mod client_connections;
 mod command_line;
 mod common;
+mod endpoint_lease;
 mod endpoint_watch;
 mod migration;
 mod operation;
