--- a/crates/core/src/dispatcher/mod.rs
+++ b/crates/core/src/dispatcher/mod.rs
@@ -17,7 +17,7 @@
                 self.fleet.apply_endpoints(now, endpoints, snapshot);
                 self.revoke_attempts(actions);
             }
-            Event::EndpointsConfirmed => self.poll_schedule.record_confirmation(now),
+            Event::EndpointsConfirmed { as_of } => self.poll_schedule.record_confirmation(as_of.min(now)),
             Event::PollAnswered { duration } => self.poll_schedule.record_poll_duration(duration),
             Event::EndpointsUnreadable => self.poll_schedule.record_unreadable_list(now),
             Event::DiscoveryMoved => self.poll_schedule.record_discovery_move(now),
--- a/crates/core/src/interface/event.rs
+++ b/crates/core/src/interface/event.rs
@@ -16,8 +16,12 @@
         /// These are all entries: a worker that is not among them is gone. Otherwise they are changes.
         snapshot: bool,
     },
-    /// The open watch confirmed that the known endpoint list is current, for instance by its heartbeat.
-    EndpointsConfirmed,
+    /// Discovery confirmed the known endpoint list, by an answer to a poll, a change or a heartbeat.
+    EndpointsConfirmed {
+        /// The list is known to have been current at this moment: when the line of the watch was read, or when the
+        /// poll was sent. A moment after that of the event counts as that of the event.
+        as_of: Micros,
+    },
     /// Discovery answered a poll.
     PollAnswered {
         /// Time from the request to the answer.
--- a/crates/core/src/interface/settings.rs
+++ b/crates/core/src/interface/settings.rs
@@ -70,9 +70,8 @@
     /// A node without a watch polls at least this often: after a silence this long it counts as notified of
     /// every change of the endpoint list.
     pub max_poll_interval: Micros,
-    /// Where the endpoint list is sent on request only: a node counts as notified of a change this long after
-    /// the change was available to it, whether its polls succeeded or not. A node whose list may be older than
-    /// that sends nothing by it. 0: no such limit.
+    /// A node counts as notified of a change this long after the change was available to it, whether its polls
+    /// succeeded or not. A node whose list may be older than that sends nothing by it. 0: no such limit.
     pub assumed_notified_after: Micros,
     /// The endpoint list says how large the workers are, see [`Endpoint::size`](crate::Endpoint::size).
     pub sizes_listed: bool,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -105,10 +105,10 @@
 #![warn(missing_docs)]
 
 mod dispatcher;
-mod endpoint_freshness;
 mod gossip;
 mod interface;
 mod migration;
+pub mod permission;
 mod policy;
 mod poll_schedule;
 mod snapshot;
--- /dev/null
+++ b/crates/core/src/permission/answering.rs
@@ -0,0 +1,43 @@
+//! Permission to answer a job that was not served, and so to end it.
+
+use crate::state::{Dispatcher, Job};
+use crate::{Action, DeduplicationScope, Idempotency, Micros};
+
+use super::Denial;
+
+/// Delay that a rejection advises to the client.
+const REJECT_RETRY_AFTER: Micros = 500_000;
+
+impl Dispatcher {
+    /// Rule 2: a job is rejected only if a retry by its client does no harm.
+    fn may_reject(&self, job: &Job) -> Result<(), Denial> {
+        let is_harmless = match self.settings.classes[job.class].idempotency {
+            Idempotency::Idempotent | Idempotency::WithKey { scope: DeduplicationScope::All, .. } => true,
+            Idempotency::WithKey { .. } | Idempotency::NonIdempotent => false,
+        };
+        if !job.is_open() {
+            return Err(Denial::JobAnswered);
+        }
+        if !is_harmless && job.first_possible_run().is_some() {
+            return Err(Denial::MayHaveRun);
+        }
+        Ok(())
+    }
+
+    /// Answers a job that will not be served.
+    pub(crate) fn reject_or_fail(&mut self, job: &mut Job, actions: &mut Vec<Action>) {
+        actions.push(if self.may_reject(job).is_ok() {
+            let retry_after = REJECT_RETRY_AFTER.min(self.settings.max_retry_after);
+            Action::Reject { job: job.id, retry_after }
+        } else {
+            Action::Fail { job: job.id }
+        });
+        self.close_job(job, actions);
+    }
+
+    /// Marks a job as answered and cancels what is still in flight for it.
+    pub(crate) fn close_job(&self, job: &mut Job, actions: &mut Vec<Action>) {
+        job.is_answered = true;
+        self.cancel_in_flight(job, None, actions);
+    }
+}
--- /dev/null
+++ b/crates/core/src/permission/endpoint_lease.rs
@@ -0,0 +1,78 @@
+//! The lease on the endpoint list: how long a node may act on the list that it has.
+//!
+//! Where changes count as notified without an answer, a node counts as notified of a change
+//! [`Settings::assumed_notified_after`] after the change was available to it, whether its polls succeeded or not, and
+//! nothing may be sent to a draining worker later than 0.75 s after that. So the list is used on a lease, which begins
+//! at the moment up to which discovery has confirmed it:
+//!
+//! | time since the list was confirmed | the node |
+//! | --- | --- |
+//! | never confirmed: only the saved list is there | sends nothing: the list may be of any age |
+//! | up to `assumed_notified_after` + 0.2 s | sends by the list |
+//! | from then on ([`EndpointLease::check`]) | decides on no new attempts: jobs wait in the queue |
+//! | up to `assumed_notified_after` + 0.55 s ([`EndpointLease::write_by`]) | still writes attempts decided on earlier |
+//!
+//! Only a confirmation by discovery renews the lease ([`EndpointLease::renew`]). A failed poll, the end of a watch, a
+//! start of the process and the passing of time confirm nothing, since discovery may have been up in between or at
+//! that moment; every other method can only shorten the lease.
+
+use crate::permission::Denial;
+use crate::{Micros, Settings};
+
+/// New attempts stop this long, in microseconds, after an unknown change would count as notified; the attempts
+/// decided on before are on their way by [`SEND_GRACE`].
+const DECISION_GRACE: Micros = 200_000;
+/// No attempt is written later than this, in microseconds, after an unknown change would count as notified. The rule
+/// is 0.75 s; a node may be held up for 0.15 s between reading its clock and writing.
+const SEND_GRACE: Micros = 550_000;
+/// The service that discovery moved to counts as having had a change this much earlier, in microseconds.
+const MOVE_ALLOWANCE: Micros = 2_000_000;
+
+/// The moment up to which the endpoint list is known to be current, and the limits that follow from it.
+pub(crate) struct EndpointLease {
+    /// See [`Settings::assumed_notified_after`]; none where changes count as notified by an event only, so that the
+    /// list needs no lease.
+    assumed_notified_after: Option<Micros>,
+    /// No change that this node does not know was available to it before this moment. None before the first
+    /// confirmation.
+    confirmed_at: Option<Micros>,
+}
+
+impl EndpointLease {
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let limit = settings.assumed_notified_after;
+        EndpointLease { assumed_notified_after: (limit > 0).then_some(limit), confirmed_at: None }
+    }
+
+    /// Discovery has confirmed that the list was current at this moment. Nothing else renews the lease.
+    pub(crate) fn renew(&mut self, confirmed_at: Micros) {
+        self.confirmed_at = Some(self.confirmed_at.map_or(confirmed_at, |at| at.max(confirmed_at)));
+    }
+
+    /// A list that could not be parsed may contain any change, so every change counts as notified now.
+    pub(crate) fn record_unreadable(&mut self, now: Micros) {
+        self.limit_to(now.saturating_sub(self.assumed_notified_after.unwrap_or_default()));
+    }
+
+    /// Discovery moved: the new service may have had changes for [`MOVE_ALLOWANCE`].
+    pub(crate) fn record_move(&mut self, now: Micros) {
+        self.limit_to(now.saturating_sub(MOVE_ALLOWANCE));
+    }
+
+    /// Whether new attempts may be decided on by the list.
+    pub(crate) fn check(&self, now: Micros) -> Result<(), Denial> {
+        let Some(limit) = self.assumed_notified_after else { return Ok(()) };
+        let confirmed_at = self.confirmed_at.ok_or(Denial::EndpointsUnconfirmed)?;
+        if now < confirmed_at + limit + DECISION_GRACE { Ok(()) } else { Err(Denial::EndpointsExpired) }
+    }
+
+    /// The moment before which an attempt decided on by the list must be written. None: the lease does not bound it.
+    pub(crate) fn write_by(&self) -> Option<Micros> {
+        let limit = self.assumed_notified_after?;
+        Some(self.confirmed_at.map_or(0, |at| at + limit + SEND_GRACE))
+    }
+
+    fn limit_to(&mut self, latest: Micros) {
+        self.confirmed_at = self.confirmed_at.map(|at| at.min(latest));
+    }
+}
--- /dev/null
+++ b/crates/core/src/permission/sending.rs
@@ -0,0 +1,109 @@
+//! Permission to send: first attempts, retries and hedged requests.
+
+use crate::state::{Dispatcher, Job, Worker};
+use crate::{Idempotency, Micros};
+
+use super::Denial;
+
+/// A repeat with an idempotency key goes out at least this long before its window closes.
+const DEDUPLICATION_MARGIN: Micros = 200_000;
+
+impl Dispatcher {
+    /// Whether new attempts may be decided on by the endpoint list. If not, jobs wait for the next confirmation.
+    pub(crate) fn check_endpoint_lease(&self, now: Micros) -> Result<(), Denial> {
+        self.poll_schedule.check_lease(now)
+    }
+
+    /// Whether this attempt may be sent now. Every send is checked by this, whatever led to it.
+    pub(crate) fn check_send(&self, now: Micros, worker: &Worker, job: &Job) -> Result<(), Denial> {
+        self.check_endpoint_lease(now)?;
+        self.may_send(now, worker, job)
+    }
+
+    /// Whether a job may be sent to a worker, if the endpoint list may be used: by the four rules and the limits of
+    /// the settings.
+    pub(crate) fn may_send(&self, now: Micros, worker: &Worker, job: &Job) -> Result<(), Denial> {
+        self.check_job(now, job)?;
+        self.check_worker(worker, job)?;
+        if !self.settings.may_hedge && !job.is_idle() {
+            return Err(Denial::AttemptInFlight);
+        }
+        self.may_repeat(now, worker, job)?;
+        // Rule 4: nothing beyond what a worker that is warming up can take.
+        if job.load() > self.warm_up_budget(now, worker) {
+            return Err(Denial::WarmUpBudgetExhausted);
+        }
+        Ok(())
+    }
+
+    /// Rule 1: nothing after the final answer or the deadline; and no more attempts than the settings allow.
+    fn check_job(&self, now: Micros, job: &Job) -> Result<(), Denial> {
+        if !job.is_open() {
+            return Err(Denial::JobAnswered);
+        }
+        if now >= job.deadline {
+            return Err(Denial::DeadlinePassed);
+        }
+        if job.attempts.len() >= self.max_attempts() {
+            return Err(Denial::NoAttemptsLeft);
+        }
+        Ok(())
+    }
+
+    /// Rule 3: nothing new to a worker that drains or is gone, or that operators have disabled.
+    fn check_worker(&self, worker: &Worker, job: &Job) -> Result<(), Denial> {
+        if !self.fleet.takes_work(worker) {
+            return Err(Denial::WorkerUnavailable);
+        }
+        let required_kind = self.settings.classes[job.class].required_kind;
+        if required_kind.is_some_and(|kind| kind != worker.kind) {
+            return Err(Denial::WorkerUnsuitable);
+        }
+        if job.may_receive_stale_callback(worker.id) {
+            return Err(Denial::StaleCallbackPossible);
+        }
+        Ok(())
+    }
+
+    /// Rule 2: whether a job may go to a worker without its effect happening twice.
+    pub(crate) fn may_repeat(&self, now: Micros, worker: &Worker, job: &Job) -> Result<(), Denial> {
+        let Some(first) = job.first_possible_run() else { return Ok(()) };
+        match self.settings.classes[job.class].idempotency {
+            Idempotency::Idempotent => Ok(()),
+            Idempotency::NonIdempotent => Err(Denial::MayHaveRun),
+            Idempotency::WithKey { scope, .. } if !worker.deduplicates(first, scope) => {
+                Err(Denial::OutsideDeduplicationScope)
+            }
+            Idempotency::WithKey { window, .. } => {
+                // Where workers report acceptance, attempts go over sockets and a connection may be late: a
+                // repeat that reaches its worker after the window would run again.
+                let transit = DEDUPLICATION_MARGIN.max(self.settings.accept_timeout);
+                if now + transit < first.deduplicated_until(window) {
+                    Ok(())
+                } else {
+                    Err(Denial::DeduplicationWindowOver)
+                }
+            }
+        }
+    }
+
+    /// Latest time at which the next attempt of a job may leave: while this node may rely on its endpoint
+    /// list and, if the job may have run, while workers still discard repeats.
+    pub(crate) fn latest_send(&self, job: &Job) -> Option<Micros> {
+        let deduplicated_until = match self.settings.classes[job.class].idempotency {
+            Idempotency::WithKey { window, .. } => {
+                job.first_possible_run().map(|first| first.deduplicated_until(window))
+            }
+            Idempotency::Idempotent | Idempotency::NonIdempotent => None,
+        };
+        let last_repeat = deduplicated_until.map(|until| until.saturating_sub(DEDUPLICATION_MARGIN));
+        last_repeat.into_iter().chain(self.poll_schedule.write_by()).min()
+    }
+
+    /// The moment before which all attempts that were decided on so far must be written, by the lease on the endpoint
+    /// list as it is now. None: the lease does not bound them. An attempt that is not written by then is ended with
+    /// [`Outcome::NotSent`](crate::Outcome::NotSent).
+    pub fn endpoints_write_by(&self) -> Option<Micros> {
+        self.poll_schedule.write_by()
+    }
+}
--- /dev/null
+++ b/crates/core/src/permission/serving.rs
@@ -0,0 +1,39 @@
+//! Permission to say that a process is ready, which makes clients come to it.
+
+use crate::Micros;
+
+use super::Denial;
+
+/// How long after its start a process waits for its first answer of discovery before it says that it is ready with its
+/// saved list alone. A ready process without an answer holds the jobs that it takes, so that clients are better off at
+/// other nodes; but when discovery is away for long, nobody would take jobs at all.
+const MAX_WAIT_FOR_ENDPOINTS: Micros = 5_000_000;
+/// The same for a process beside an older one, which goes on serving meanwhile; an upgrade has 6 s in all.
+const MAX_WAIT_BESIDE_PREDECESSOR: Micros = 3_000_000;
+
+/// When a process may say that it is ready.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServingPermission {
+    /// The configuration has an endpoint list of an earlier run.
+    pub has_saved_endpoints: bool,
+    /// Another process of this node serves.
+    pub has_predecessor: bool,
+}
+
+impl ServingPermission {
+    /// How long after its start, in microseconds, the process may say that it is ready without an answer of discovery.
+    /// None: never. With an answer it may at once.
+    pub fn without_answer_after(self) -> Option<Micros> {
+        match self {
+            ServingPermission { has_saved_endpoints: false, .. } => None,
+            ServingPermission { has_predecessor: true, .. } => Some(MAX_WAIT_BESIDE_PREDECESSOR),
+            ServingPermission { has_predecessor: false, .. } => Some(MAX_WAIT_FOR_ENDPOINTS),
+        }
+    }
+
+    /// Whether the process may say that it is ready, so many microseconds after its start.
+    pub fn check(self, is_answered: bool, since_start: Micros) -> Result<(), Denial> {
+        let may_serve = is_answered || self.without_answer_after().is_some_and(|wait| since_start >= wait);
+        if may_serve { Ok(()) } else { Err(Denial::EndpointsUnconfirmed) }
+    }
+}
--- a/crates/core/src/policy/hedging.rs
+++ b/crates/core/src/policy/hedging.rs
@@ -11,7 +11,7 @@
     /// Sends a second attempt of a job that should have started, where another worker has a slot free: other
     /// nodes' work may be queued before it, or its worker may be silent.
     pub(super) fn hedge_job(&mut self, now: Micros, job: &mut Job, actions: &mut Vec<Action>) {
-        let may_send = self.settings.may_cancel && !self.poll_schedule.endpoints_are_stale(now);
+        let may_send = self.settings.may_cancel && self.check_endpoint_lease(now).is_ok();
         if !may_send || !self.budgets.allow_hedge(job) || !self.is_start_overdue(now, job) {
             return;
         }
@@ -20,7 +20,7 @@
         let worker = self.fleet.workers[placement.worker_index].id;
         if placement.rating.tier == PlacementTier::Immediate && !job.was_sent_to(worker) {
             self.budgets.spend_hedge(job);
-            actions.push(self.send_attempt(now, job, &placement));
+            actions.extend(self.send_attempt(now, job, &placement));
         }
     }
 
--- a/crates/core/src/policy/mod.rs
+++ b/crates/core/src/policy/mod.rs
@@ -3,7 +3,6 @@
 //!
 //! | module | what it decides |
 //! | --- | --- |
-//! | `rules` | what is allowed at all: every send and every final answer passes it |
 //! | `admission` | what a submitted job may claim, and whether it is taken |
 //! | `pending_queue` | when a job goes out, and in which order |
 //! | `placement` | which worker gets it: the lowest `x + w/(1-r)`, see [`Dispatcher::cost`] |
@@ -11,7 +10,9 @@
 //! | `ejection` | which workers are avoided after failures |
 //! | `retries`, `hedging` | what follows an attempt that failed, or that does not start |
 //! | `deadlines` | when a job is given up |
-//! | `pre_send` | what becomes of an attempt that has not left yet |
+//! | `unsent_attempts` | what becomes of an attempt that has not left |
+//!
+//! What is allowed at all stands in [`crate::permission`]: every send and every final answer passes it.
 //!
 //! [`Dispatcher`]: crate::Dispatcher
 //! [`Dispatcher::cost`]: crate::Dispatcher::cost
@@ -22,9 +23,8 @@
 mod hedging;
 mod pending_queue;
 mod placement;
-mod pre_send;
 mod retries;
-mod rules;
 mod slow_start;
+mod unsent_attempts;
 
 pub(crate) use deadlines::SWEEP_INTERVAL;
--- a/crates/core/src/policy/pending_queue.rs
+++ b/crates/core/src/policy/pending_queue.rs
@@ -31,7 +31,7 @@
     /// Sends queued jobs while workers are free for them.
     pub(crate) fn dispatch_pending(&mut self, now: Micros, actions: &mut Vec<Action>) {
         // Rule 3: a node whose list may be out of date sends nothing by it. Jobs wait for the next.
-        if self.queue.is_empty() || self.poll_schedule.endpoints_are_stale(now) {
+        if self.queue.is_empty() || self.check_endpoint_lease(now).is_err() {
             return;
         }
         self.refresh_estimates(now);
@@ -55,12 +55,14 @@
         let Some(mut job) = self.jobs.remove(&key.job) else { return self.queue.remove(&key) };
         let placement = self.choose_worker(now, &mut job);
         let placement = placement.filter(|placement| self.is_timely(now, &job, placement));
-        if let Some(placement) = &placement {
+        let send = placement.and_then(|placement| self.send_attempt(now, &mut job, &placement));
+        self.store_job(job);
+        let is_sent = send.is_some();
+        if is_sent {
             self.queue.remove(&key);
-            actions.push(self.send_attempt(now, &mut job, placement));
         }
-        self.store_job(job);
-        placement.is_some()
+        actions.extend(send);
+        is_sent
     }
 
     /// Whether a job is sent now: a slot is about to be free, or waiting longer would miss its objective. A
@@ -90,17 +92,22 @@
         self.capacity.shortest_wait > max_wait && (job.over_quota || !is_due)
     }
 
-    /// Records an attempt at the chosen worker. Returns the action that sends it.
+    /// Records an attempt at the chosen worker. Returns the action that sends it. All sends pass here: one without
+    /// permission is counted as a violation and not made.
     pub(super) fn send_attempt(
         &mut self,
         now: Micros,
         job: &mut Job,
         placement: &PlacementEstimate,
-    ) -> Action {
+    ) -> Option<Action> {
+        if let Err(denial) = self.check_send(now, &self.fleet.workers[placement.worker_index], job) {
+            self.violations.record(denial);
+            return None;
+        }
         let send_by = self.latest_send(job);
         self.record_send(now, job, placement, self.warm_up_window());
         self.refresh_worker(now, placement.worker_index);
         let worker = self.fleet.workers[placement.worker_index].id;
-        Action::SendAttempt { job: job.id, worker, timeout: job.deadline - now, send_by }
+        Some(Action::SendAttempt { job: job.id, worker, timeout: job.deadline - now, send_by })
     }
 }
--- a/crates/core/src/policy/placement.rs
+++ b/crates/core/src/policy/placement.rs
@@ -48,7 +48,7 @@
             let worker = &self.fleet.workers[index];
             let mut rating = self.rate_worker(now, index, job);
             let may_win = rating.tier < best.tier || is_near_tie(rating, best);
-            if !may_win || !self.may_send(now, worker, job) || self.is_avoided(now, worker, job) {
+            if !may_win || self.may_send(now, worker, job).is_err() || self.is_avoided(now, worker, job) {
                 rating = PlacementRating::INELIGIBLE;
             }
             self.fleet.workers[index].rating = rating;
--- a/crates/core/src/policy/retries.rs
+++ b/crates/core/src/policy/retries.rs
@@ -1,30 +1,13 @@
 //! Retries: what may run again, and what follows an attempt that has ended or does not start.
 
 use crate::state::{Dispatcher, Job, PlacementTier, Worker};
-use crate::{Action, Idempotency, JobId, Micros, Outcome};
+use crate::{Action, JobId, Micros, Outcome};
 
-/// A repeat with an idempotency key goes out at least this long before its window closes.
-pub(super) const DEDUPLICATION_MARGIN: Micros = 200_000;
 /// A job whose start is this late, in seconds, may be placed elsewhere: reports of starts arrive sooner than
 /// that.
 const RELOCATION_DELAY_S: f64 = 0.15;
 
 impl Dispatcher {
-    /// Rule 2: whether a job may go to a worker without its effect happening twice.
-    pub(super) fn may_repeat(&self, now: Micros, worker: &Worker, job: &Job) -> bool {
-        let Some(first) = job.first_possible_run() else { return true };
-        match self.settings.classes[job.class].idempotency {
-            Idempotency::Idempotent => true,
-            Idempotency::NonIdempotent => false,
-            Idempotency::WithKey { scope, window } => {
-                // Where workers report acceptance, attempts go over sockets and a connection may be late: a
-                // repeat that reaches its worker after the window would run again.
-                let transit = DEDUPLICATION_MARGIN.max(self.settings.accept_timeout);
-                worker.deduplicates(first, scope) && now + transit < first.deduplicated_until(window)
-            }
-        }
-    }
-
     /// Decides what follows the end of an attempt: the job is over, retried, or answered.
     pub(crate) fn follow_up(&mut self, now: Micros, id: JobId, settled: bool, actions: &mut Vec<Action>) {
         let Some(mut job) = self.jobs.remove(&id) else { return };
@@ -33,7 +16,7 @@
         }
         if !job.is_answered && job.is_idle() {
             // Retries are bounded: when much fails, more attempts would only add to the load.
-            let may_send = |worker| self.may_send(now, worker, &job);
+            let may_send = |worker| self.may_send(now, worker, &job).is_ok();
             if self.budgets.allow_retry() && self.fleet.workers.iter().any(may_send) {
                 self.budgets.spend_retry();
                 self.enqueue_job(job);
@@ -52,7 +35,9 @@
         let in_flight = self.in_flight_attempt(job.id, attempt)?;
         let is_overdue = in_flight.is_acceptance_overdue(now, self.settings.accept_timeout);
         let may_take = |worker: &Worker| {
-            worker.id != attempt.worker && self.fleet.takes_work(worker) && self.may_repeat(now, worker, job)
+            worker.id != attempt.worker
+                && self.fleet.takes_work(worker)
+                && self.may_repeat(now, worker, job).is_ok()
         };
         (is_overdue && self.fleet.workers.iter().any(may_take)).then_some(attempt.number)
     }
@@ -65,7 +50,7 @@
             || !self.budgets.allow_retry()
             || !self.settings.may_cancel
             || self.settings.may_hedge
-            || self.poll_schedule.endpoints_are_stale(now)
+            || self.check_endpoint_lease(now).is_err()
         {
             return None;
         }
--- a/crates/core/src/policy/slow_start.rs
+++ b/crates/core/src/policy/slow_start.rs
@@ -31,7 +31,7 @@
 
     /// Rule 4: work that this node may send to a worker now; infinite for a warm one. Rejected work counts
     /// too.
-    pub(super) fn warm_up_budget(&self, now: Micros, worker: &Worker) -> f64 {
+    pub(crate) fn warm_up_budget(&self, now: Micros, worker: &Worker) -> f64 {
         let warm_up_fraction = self.warm_up_fraction(now, worker);
         if warm_up_fraction >= 1.0 {
             return f64::INFINITY;
--- a/crates/core/src/poll_schedule.rs
+++ b/crates/core/src/poll_schedule.rs
@@ -13,11 +13,10 @@
 //!
 //! Discovery serves one poll after another and drops a poll that waits for longer than about 2 s. Nodes often lose
 //! their watches all at once, so their polls are spread evenly over the time that discovery needs for all of them:
-//! each node estimates that from the polls that were answered. When the polls of all nodes fit into that spread, a
-//! failed poll means that discovery was unavailable when the poll began; so the list was still current then. When they
-//! do not fit, a failure may only mean that discovery was overloaded, and says nothing about the list.
+//! each node estimates that from the polls that were answered. A poll that fails says nothing about the list: discovery
+//! may have been unavailable, overloaded, or not reachable for this node alone.
 
-use crate::endpoint_freshness::EndpointFreshness;
+use crate::permission::{Denial, EndpointLease};
 use crate::{Micros, Settings};
 
 /// Initial time between the beginnings of two polls after a failure; it doubles with each further failure.
@@ -36,9 +35,6 @@
 /// it may have waited in discovery's queue. A shorter one replaces the estimate.
 const POLL_COST_SMOOTHING: Micros = 8;
 
-/// Time that a poll may wait in discovery's queue, less a margin: simultaneous polls that together take
-/// no longer than this are all answered.
-const MAX_QUEUE_WAIT: Micros = 1_800_000;
 /// Up to this, polls are spread so far that none needs to wait in discovery's queue.
 const MAX_UNCONTENDED_SPREAD: Micros = 5_000_000;
 /// After failures the spread grows up to the time needed for all nodes and this part (one in so many) more.
@@ -48,17 +44,10 @@
 /// The time to the next poll varies at random by this part (one in so many), both ways.
 const JITTER_PART: Micros = 25;
 
-/// An open watch sends a heartbeat every 2 s; if it ends later than this after the last one, it had been silent
-/// before.
-const MAX_HEARTBEAT_GAP: Micros = 2_100_000;
-/// A process that makes its first poll within this time of its start is assumed to have missed no change
-/// in between.
-const MAX_IMMEDIATE_START: Micros = 500_000;
-
 /// Value of [`PollSchedule::next_poll_at`] before the first timer.
 const NOT_STARTED: Micros = 0;
 
-/// The schedule of a node's polls, with the freshness of its endpoint list. Times are in microseconds.
+/// The schedule of a node's polls, with the lease on its endpoint list. Times are in microseconds.
 pub(crate) struct PollSchedule {
     /// The list is sent on request only; otherwise there is nothing to schedule.
     on_request: bool,
@@ -71,13 +60,9 @@
     consecutive_failures: u32,
     /// The time over which the polls of all nodes are spread, as far as this node knows.
     spread: Micros,
-    /// The list was current when the watch was lost, or when the process made its first poll.
-    lost_watch_while_current: bool,
     /// The watch was lost because this node could not parse what it sent.
     list_unreadable: bool,
-    /// When this process started.
-    started_at: Micros,
-    freshness: EndpointFreshness,
+    lease: EndpointLease,
 }
 
 impl PollSchedule {
@@ -91,10 +76,8 @@
             poll_in_flight: false,
             consecutive_failures: 0,
             spread: 0,
-            lost_watch_while_current: true,
             list_unreadable: false,
-            started_at: 0,
-            freshness: EndpointFreshness::new(settings),
+            lease: EndpointLease::new(settings),
         }
     }
 
@@ -105,7 +88,6 @@
 
     /// Returns whether a poll is due, and records it as begun. The first call schedules the first poll.
     pub(crate) fn start_due_poll(&mut self, now: Micros, rng: &mut fastrand::Rng) -> bool {
-        self.freshness.record_start(now);
         if self.next_poll_at == Some(NOT_STARTED) {
             self.schedule_first_poll(now, rng);
             return false;
@@ -126,9 +108,9 @@
         }
     }
 
-    /// The open watch confirmed that the known list is current.
-    pub(crate) fn record_confirmation(&mut self, now: Micros) {
-        self.freshness.confirm(now);
+    /// Discovery confirmed that the known list was current at this moment.
+    pub(crate) fn record_confirmation(&mut self, confirmed_at: Micros) {
+        self.lease.renew(confirmed_at);
     }
 
     /// A poll was answered after `duration`.
@@ -138,13 +120,13 @@
 
     /// Discovery sent something that could not be parsed.
     pub(crate) fn record_unreadable_list(&mut self, now: Micros) {
-        self.freshness.record_unreadable(now);
+        self.lease.record_unreadable(now);
         self.list_unreadable = true;
     }
 
     /// Discovery moved to another address.
     pub(crate) fn record_discovery_move(&mut self, now: Micros) {
-        self.freshness.record_move(now);
+        self.lease.record_move(now);
     }
 
     /// A poll failed or the watch ended: schedules the next poll.
@@ -160,29 +142,24 @@
         }
     }
 
-    /// Whether the endpoint list may be so old that nothing new may be sent by it.
-    pub(crate) fn endpoints_are_stale(&self, now: Micros) -> bool {
-        self.freshness.is_stale(now)
+    /// Whether new attempts may be decided on by the present endpoint list.
+    pub(crate) fn check_lease(&self, now: Micros) -> Result<(), Denial> {
+        self.lease.check(now)
     }
 
     /// The moment before which an attempt decided on by the present endpoint list must be written.
-    pub(crate) fn send_by(&self) -> Option<Micros> {
-        self.freshness.send_by()
+    pub(crate) fn write_by(&self) -> Option<Micros> {
+        self.lease.write_by()
     }
 
-    /// All nodes may have started at once: each polls at a random moment and uses its saved list until then.
+    /// All nodes may have started at once, so each polls at a random moment.
     fn schedule_first_poll(&mut self, now: Micros, rng: &mut fastrand::Rng) {
-        self.started_at = now;
         self.last_poll_at = now;
         self.spread = self.load.time_for_all_nodes().min(self.max_poll_interval / 2);
         self.next_poll_at = Some(now + rng.u64(0..=self.spread));
     }
 
     fn record_poll(&mut self, now: Micros) {
-        let is_first_poll = self.last_poll_at == self.started_at;
-        if is_first_poll {
-            self.lost_watch_while_current = now < self.started_at + MAX_IMMEDIATE_START;
-        }
         self.last_poll_at = now;
         self.poll_in_flight = true;
         // In case neither an answer nor a failure arrives.
@@ -190,10 +167,6 @@
     }
 
     fn record_failed_poll(&mut self, now: Micros, min_delay: Micros, rng: &mut fastrand::Rng) {
-        if self.lost_watch_while_current && self.all_polls_fit() {
-            // Discovery was unavailable when the poll began, or it would have answered.
-            self.freshness.extend_to(self.last_poll_at);
-        }
         self.spread = self.spread_after_failure();
         let jittered = self.spread - self.spread / JITTER_PART + rng.u64(0..=2 * self.spread / JITTER_PART);
         self.next_poll_at = Some((now + min_delay).max(self.last_poll_at + jittered));
@@ -204,10 +177,6 @@
     /// spread. An unreadable list concerns this node alone.
     fn record_lost_watch(&mut self, now: Micros, min_delay: Micros, rng: &mut fastrand::Rng) {
         self.spread = self.initial_spread();
-        self.lost_watch_while_current = self.freshness.was_current_within(MAX_HEARTBEAT_GAP, now);
-        if self.lost_watch_while_current {
-            self.freshness.confirm(now);
-        }
         let offset = if std::mem::take(&mut self.list_unreadable) { 0 } else { rng.u64(0..=self.spread) };
         self.next_poll_at = Some(now + min_delay + offset);
     }
@@ -231,15 +200,6 @@
         let spread = (all_nodes + all_nodes * 3 / 10).min(all_nodes.max(MAX_UNCONTENDED_SPREAD));
         if self.load.poll_cost.is_none() { spread.min(self.max_poll_interval) } else { spread }
     }
-
-    /// Whether discovery had time for the polls of all nodes as they were spread, even if seven in ten nodes had
-    /// just started and spread theirs over half of `max_poll_interval`. If so, a failed poll means that discovery was
-    /// unavailable; if not, it may have been overloaded.
-    fn all_polls_fit(&self) -> bool {
-        let all_nodes = self.load.time_for_all_nodes();
-        let fits_after_start = all_nodes <= self.max_poll_interval / 2 + MAX_QUEUE_WAIT * 10 / 7;
-        all_nodes <= MAX_QUEUE_WAIT || self.spread >= all_nodes && fits_after_start
-    }
 }
 
 /// Estimate of the time that discovery needs to answer polls.
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -29,6 +29,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::permission::Violations;
 use crate::poll_schedule::PollSchedule;
 use crate::{Idempotency, JobId, Micros, Settings, SettingsError};
 
@@ -63,6 +64,7 @@
     pub(crate) timer: Timer,
     pub(crate) gossip: GossipState,
     pub(crate) poll_schedule: PollSchedule,
+    pub(crate) violations: Violations,
     pub(crate) buffers: Buffers,
 }
 
@@ -120,11 +122,17 @@
             timer: Timer::default(),
             gossip: GossipState::default(),
             poll_schedule: PollSchedule::new(&settings),
+            violations: Violations::default(),
             buffers: Buffers::default(),
             settings,
         })
     }
 
+    /// What was decided without permission and therefore not done, by reason.
+    pub fn violations(&self) -> &Violations {
+        &self.violations
+    }
+
     /// Keeps a job for as long as something may still come of it.
     pub(crate) fn store_job(&mut self, job: Job) {
         if !job.is_answered || !job.is_idle() {
--- a/crates/core/tests/decision_lock/driver.rs
+++ b/crates/core/tests/decision_lock/driver.rs
@@ -285,7 +285,7 @@
                 self.processes[process].is_watching = true;
                 self.handle(process, Event::PollAnswered { duration: self.now - begin });
                 self.deliver_list(process, true);
-                self.handle(process, Event::EndpointsConfirmed);
+                self.handle(process, Event::EndpointsConfirmed { as_of: self.now });
             }
             Scheduled::Attempt { job, attempt, event } => self.report_attempt_event(job, attempt, event),
         }
--- a/crates/core/tests/decision_lock/driver/external_events.rs
+++ b/crates/core/tests/decision_lock/driver/external_events.rs
@@ -49,7 +49,7 @@
             return;
         }
         let event = match self.rng.u8(0..12) {
-            0..8 => return self.handle(process, Event::EndpointsConfirmed),
+            0..8 => return self.handle(process, Event::EndpointsConfirmed { as_of: self.now }),
             8 => Event::EndpointsUnreadable,
             9 => Event::DiscoveryMoved,
             _ => Event::TimerExpired,
--- a/crates/core/tests/decisions/endpoint_lease.rs
+++ b/crates/core/tests/decisions/endpoint_lease.rs
@@ -32,7 +32,8 @@
     node.now += POLL_DURATION;
     node.handle(Event::PollAnswered { duration: POLL_DURATION });
     node.list(&endpoints(4));
-    node.handle(Event::EndpointsConfirmed);
+    let as_of = node.now;
+    node.handle(Event::EndpointsConfirmed { as_of });
     node
 }
 
@@ -93,3 +94,12 @@
         assert!(sends.iter().all(|at| *at <= limit), "{silence}: {sends:?} after {limit}");
     }
 }
+
+#[test]
+fn process_starts_with_a_saved_list_then_nothing_is_sent_before_an_answer() {
+    for nodes in [1, 30, 300] {
+        let mut node = starting_process(nodes);
+        let sends = sends_while_polls_fail(&mut node);
+        assert_eq!(sends, [], "{nodes} nodes");
+    }
+}
--- a/crates/core/tests/fleets.rs
+++ b/crates/core/tests/fleets.rs
@@ -46,11 +46,8 @@
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut draw_time = |from, to| BEGIN + rng.u64(from * SECOND..to * SECOND);
         let down_from = draw_time(8, 14);
-        // Up to 8 s before discovery goes down nobody loses it for another reason: see the design note's limits.
-        let is_apart = |at: &Micros| at + 8 * SECOND < down_from || *at > down_from;
-        let [closed_at, silent_at, killed_at] = [(2, 34), (2, 34), (5, 30)].map(|(from, to)| {
-            std::iter::repeat_with(|| draw_time(from, to)).find(is_apart).expect("an endless iterator")
-        });
+        let [closed_at, silent_at, killed_at] =
+            [(2, 34), (2, 34), (5, 30)].map(|(from, to)| draw_time(from, to));
         let drains = (0..4).map(|_| draw_time(6, 38)).collect();
         let nodes = *rng.choice(&[3, 8, 17, 30, 60, 100, 200, 300, 350]).expect("some");
         Scenario {
@@ -207,7 +204,11 @@
             self.drains_received[worker].get_or_insert(now.max(*at));
         }
         self.handle(Event::EndpointsChanged { endpoints: &list, snapshot: true });
-        self.handle(Event::EndpointsConfirmed);
+        let as_of = match self.connection {
+            Connection::Watching { last_event, .. } => last_event,
+            Connection::Closed | Connection::Polling(_) => now,
+        };
+        self.handle(Event::EndpointsConfirmed { as_of });
     }
 
     fn expire_timer(&mut self, workers: &[Endpoint]) {
@@ -244,8 +245,8 @@
     /// When the node counts as notified of the drain of a worker that drains.
     fn notified_at(&self, scenario: &Scenario, worker: usize) -> Option<Micros> {
         let begin = *scenario.drains.get(worker).filter(|begin| **begin < self.node.now)?;
-        // A process that has just started has as long to learn of it as all had.
-        Some(self.drains_received[worker].unwrap_or_else(|| scenario.notified_at(self.started.max(begin))))
+        // A process that has just started is held to it like all others.
+        Some(self.drains_received[worker].unwrap_or_else(|| scenario.notified_at(begin)))
     }
 }
 
--- a/crates/node/src/discovery/endpoint_watch.rs
+++ b/crates/node/src/discovery/endpoint_watch.rs
@@ -72,6 +72,16 @@
     /// Neither a list nor a heartbeat came within [`SILENCE_TIMEOUT`].
     #[error("the watch fell silent; where that lasts, see whether discovery hangs or the network is cut")]
     Silent,
+    /// A change has an older version than the list that it is to change, so that others may be missing.
+    #[error(
+        "the watch sent version {sent} after version {known}; see whether two discoveries serve one address"
+    )]
+    OutOfOrder {
+        /// The version of the change.
+        sent: u64,
+        /// The version that was known.
+        known: u64,
+    },
     /// The response holds something other than endpoint lists.
     #[error("a list of the watch cannot be read: {0}")]
     Malformed(#[from] EndpointListError),
@@ -82,6 +92,20 @@
     pub fn is_silence(&self) -> bool {
         matches!(self, WatchError::Silent | WatchError::PollTimeout)
     }
+
+    /// Whether the list that is known may lack any change, however recent.
+    pub fn leaves_list_unknown(&self) -> bool {
+        matches!(self, WatchError::Malformed(_) | WatchError::OutOfOrder { .. })
+    }
+}
+
+/// An event of a watch, and what it says of the time up to which the list is known.
+pub struct ReceivedEvent {
+    /// What was read.
+    pub event: WatchEvent,
+    /// The list, with this event applied, is known to have been current at this moment. None if the event came after
+    /// a silence: it may have been held up on its way, and others after it.
+    pub current_as_of: Option<Instant>,
 }
 
 /// What an open watch delivers.
@@ -109,6 +133,8 @@
     pub watch: EndpointWatch,
     /// The list or heartbeat that it began with.
     pub first_event: WatchEvent,
+    /// When the poll was started. Discovery has answered later, so that its list was current then.
+    pub started_at: Instant,
     /// From the start of the poll to the first event.
     pub poll_duration: Duration,
 }
@@ -118,8 +144,9 @@
     pub async fn run(self) -> Result<OpenedWatch, WatchError> {
         let open = async {
             let mut watch = EndpointWatch::open(self.address, self.known_index).await?;
-            let first_event = watch.next_event().await?;
-            Ok(OpenedWatch { watch, first_event, poll_duration: self.started_at.elapsed() })
+            let first_event = watch.next_event().await?.event;
+            let started_at = self.started_at;
+            Ok(OpenedWatch { watch, first_event, started_at, poll_duration: started_at.elapsed() })
         };
         timeout(POLL_TIMEOUT, open).await.unwrap_or(Err(WatchError::PollTimeout))
     }
@@ -132,6 +159,10 @@
     parser: EndpointListParser,
     /// When the last whole list or heartbeat was read; at first, when the response began.
     last_event_at: Instant,
+    /// When the last bytes were read.
+    read_at: Instant,
+    /// Bytes were read only after the watch had been silent for too long, as when this process was held up.
+    has_been_silent: bool,
 }
 
 impl EndpointWatch {
@@ -148,16 +179,28 @@
         }
         let body = response.into_body();
         let parser = EndpointListParser::default();
-        Ok(EndpointWatch { connection, body, parser, last_event_at: Instant::now() })
+        let now = Instant::now();
+        Ok(EndpointWatch {
+            connection,
+            body,
+            parser,
+            last_event_at: now,
+            read_at: now,
+            has_been_silent: false,
+        })
     }
 
     /// The next list or heartbeat.
     ///
     /// Cancel-safe: bytes that were read and the time of the last event stay with the watch.
-    pub async fn next_event(&mut self) -> Result<WatchEvent, WatchError> {
+    pub async fn next_event(&mut self) -> Result<ReceivedEvent, WatchError> {
         loop {
             if let Some(event) = self.parse_event()? {
-                return Ok(event);
+                let current_as_of = (!self.has_been_silent).then_some(self.read_at);
+                return Ok(ReceivedEvent { event, current_as_of });
+            }
+            if self.has_been_silent {
+                return Err(WatchError::Silent);
             }
             self.read_frame().await?;
         }
@@ -171,7 +214,7 @@
             Parsed::List(list) => WatchEvent::List(list),
         };
         // Bytes alone do not count as activity: a list that never ends delivers nothing.
-        self.last_event_at = Instant::now();
+        self.last_event_at = self.read_at;
         Ok(Some(event))
     }
 
@@ -183,6 +226,8 @@
             Ok(None) => return Err(WatchError::Ended),
             Err(_) => return Err(WatchError::Silent),
         };
+        self.read_at = Instant::now();
+        self.has_been_silent = self.read_at >= silent_at;
         if let Ok(data) = frame.into_data() {
             self.parser.push_bytes(&data);
         }
--- a/crates/node/src/discovery/watch_state.rs
+++ b/crates/node/src/discovery/watch_state.rs
@@ -36,7 +36,9 @@
 use tracing::debug;
 
 use crate::discovery::endpoint_list::{EndpointListMessage, NO_LIST_INDEX};
-use crate::discovery::endpoint_watch::{EndpointWatch, OpenedWatch, PollRequest, WatchError, WatchEvent};
+use crate::discovery::endpoint_watch::{
+    EndpointWatch, OpenedWatch, PollRequest, ReceivedEvent, WatchError, WatchEvent,
+};
 use crate::discovery::watch_timing::WatchTiming;
 use crate::telemetry::logging::DISCOVERY;
 
@@ -81,15 +83,15 @@
 /// What came of the open watch.
 pub struct WatchOutcome {
     generation: AddressGeneration,
-    result: Result<WatchEvent, WatchError>,
+    result: Result<ReceivedEvent, WatchError>,
 }
 
 /// What has to be passed on after an event.
 pub enum WatchUpdate {
     /// A list, or a change of it.
     List(ListUpdate),
-    /// The watch at the present address says that nothing has changed.
-    Confirmed,
+    /// The watch at the present address says that nothing has changed up to this moment.
+    Confirmed(Instant),
     /// A watch or a poll has failed. The caller reports it and calls [`WatchState::record_failure`].
     Failed(WatchFailure),
 }
@@ -98,8 +100,9 @@
 pub struct ListUpdate {
     /// The list.
     pub list: EndpointListMessage,
-    /// Whether it is of the present address, so that the whole list is up to date with it.
-    pub is_current: bool,
+    /// With it, the whole list is known to have been current at this moment. None if that is not known: the list is of
+    /// an earlier address, or came after a silence.
+    pub current_as_of: Option<Instant>,
     /// How long the poll took of which it is the first answer.
     pub poll_duration: Option<Duration>,
 }
@@ -203,13 +206,16 @@
                 let is_current = generation == self.generation;
                 Some(WatchUpdate::Failed(WatchFailure { error, is_current, is_poll: true }))
             }
-            StateEvent::WatchAdvanced(WatchOutcome { generation, result: Ok(event) }) => {
+            StateEvent::WatchAdvanced(WatchOutcome { generation, result: Ok(received) }) => {
                 self.consecutive_failures = 0;
-                match event {
-                    WatchEvent::List(list) => Some(self.accept_list(generation, list, None)),
+                match received.event {
+                    WatchEvent::List(list) => {
+                        Some(self.accept_change(generation, list, received.current_as_of))
+                    }
                     WatchEvent::Heartbeat => {
                         // The heartbeat of an old address says nothing about the list at the present one.
-                        (generation == self.generation).then_some(WatchUpdate::Confirmed)
+                        let as_of = received.current_as_of.filter(|_| generation == self.generation);
+                        as_of.map(WatchUpdate::Confirmed)
                     }
                 }
             }
@@ -265,7 +271,7 @@
     }
 
     fn accept_watch(&mut self, generation: AddressGeneration, opened: OpenedWatch) -> Option<WatchUpdate> {
-        let OpenedWatch { watch, first_event, poll_duration } = opened;
+        let OpenedWatch { watch, first_event, started_at, poll_duration } = opened;
         let is_current = generation == self.generation;
         if is_current {
             // This watch delivers all that the other polls could.
@@ -282,13 +288,31 @@
             WatchEvent::Heartbeat if is_current => EndpointListMessage::unchanged(self.known_index),
             WatchEvent::Heartbeat => return None,
         };
-        Some(self.accept_list(generation, list, Some(poll_duration)))
+        Some(self.accept_list(generation, list, Some(started_at), Some(poll_duration)))
+    }
+
+    /// Takes a list of the open watch. A change whose version is older than the known one cannot follow it.
+    fn accept_change(
+        &mut self,
+        generation: AddressGeneration,
+        list: EndpointListMessage,
+        current_as_of: Option<Instant>,
+    ) -> WatchUpdate {
+        let (sent, known) = (list.index, self.known_index);
+        if generation == self.generation && !list.snapshot && sent < known {
+            self.open_watch = None;
+            self.known_index = NO_LIST_INDEX;
+            let error = WatchError::OutOfOrder { sent, known };
+            return WatchUpdate::Failed(WatchFailure { error, is_current: true, is_poll: false });
+        }
+        self.accept_list(generation, list, current_as_of, None)
     }
 
     fn accept_list(
         &mut self,
         generation: AddressGeneration,
         list: EndpointListMessage,
+        current_as_of: Option<Instant>,
         poll_duration: Option<Duration>,
     ) -> WatchUpdate {
         let is_current = generation == self.generation;
@@ -296,7 +320,8 @@
             self.known_index = list.index;
         }
         self.schedule_poll_beside_old_watch();
-        WatchUpdate::List(ListUpdate { list, is_current, poll_duration })
+        let current_as_of = current_as_of.filter(|_| is_current);
+        WatchUpdate::List(ListUpdate { list, current_as_of, poll_duration })
     }
 
     /// Schedules the poll that follows a failure at the present address, if it needs no request.
--- a/crates/node/src/discovery/watcher.rs
+++ b/crates/node/src/discovery/watcher.rs
@@ -7,7 +7,6 @@
 use tracing::{debug, warn};
 
 use crate::discovery::endpoint_list::EndpointResolver;
-use crate::discovery::endpoint_watch::WatchError;
 use crate::discovery::watch_state::{ListUpdate, StateEvent, WatchFailure, WatchState, WatchUpdate};
 use crate::discovery::watch_timing::WatchTiming;
 use crate::dispatch::{DispatchMessage, DispatchQueue};
@@ -76,9 +75,9 @@
             }
             WatcherEvent::State(event) => match state.apply_event(event) {
                 None => Ok(()),
-                Some(WatchUpdate::Confirmed) => {
+                Some(WatchUpdate::Confirmed(as_of)) => {
                     debug!(target: DISCOVERY, "endpoint list confirmed");
-                    self.notify(DispatchMessage::EndpointsConfirmed).await
+                    self.notify(DispatchMessage::EndpointsConfirmed { as_of }).await
                 }
                 Some(WatchUpdate::List(update)) => self.pass_on_list(update).await,
                 Some(WatchUpdate::Failed(failure)) => self.handle_failure(state, failure).await,
@@ -87,13 +86,13 @@
     }
 
     async fn pass_on_list(&mut self, update: ListUpdate) -> Result<(), DispatchStopped> {
-        let ListUpdate { list, is_current, poll_duration } = update;
+        let ListUpdate { list, current_as_of, poll_duration } = update;
         self.list_received.send_replace(true);
         let endpoints = self.resolver.resolve(&list.endpoints);
         let (index, count, snapshot) = (list.index, endpoints.len(), list.snapshot);
         debug!(target: DISCOVERY, index, endpoints = count, snapshot, ?poll_duration, "endpoint list");
-        let confirmed = is_current;
-        self.notify(DispatchMessage::EndpointsChanged { endpoints, snapshot, confirmed, poll_duration }).await
+        let change = DispatchMessage::EndpointsChanged { endpoints, snapshot, current_as_of, poll_duration };
+        self.notify(change).await
     }
 
     async fn handle_failure(
@@ -104,7 +103,7 @@
         self.metrics.add(Counter::EndpointWatchFailures);
         let call = if failure.is_poll() { "poll" } else { "watch" };
         warn!(target: DISCOVERY, call, is_current = failure.is_current, "transport map: {}", failure.error);
-        if failure.is_current && matches!(failure.error, WatchError::Malformed(_)) {
+        if failure.is_current && failure.error.leaves_list_unknown() {
             self.notify(DispatchMessage::EndpointsUnreadable).await?;
         }
         if state.record_failure(&failure) {
--- a/crates/node/src/dispatch/clock.rs
+++ b/crates/node/src/dispatch/clock.rs
@@ -24,6 +24,12 @@
         self.unix_at_start + self.started.elapsed().as_micros() as Micros
     }
 
+    /// A moment of the runtime's clock on this clock; a moment before the start becomes the start.
+    pub(super) fn moment_of(&self, instant: tokio::time::Instant) -> Micros {
+        let since_start = instant.into_std().saturating_duration_since(self.started);
+        self.unix_at_start + since_start.as_micros() as Micros
+    }
+
     /// A moment of this clock on the runtime's clock; a moment before the start becomes the start.
     pub(super) fn instant_at(&self, moment: Micros) -> tokio::time::Instant {
         (self.started + Duration::from_micros(moment.saturating_sub(self.unix_at_start))).into()
--- a/crates/node/src/dispatch/messages.rs
+++ b/crates/node/src/dispatch/messages.rs
@@ -8,6 +8,7 @@
 use curlewusher_core::{Outcome, StateSnapshot};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
 use super::attempts::CallbackState;
 use super::endpoints::NamedEndpoint;
@@ -87,14 +88,16 @@
         endpoints: Vec<NamedEndpoint>,
         /// Whether these are all endpoints, rather than a change.
         snapshot: bool,
-        /// Whether it comes from the current discovery service, so that everything that is known is
-        /// confirmed.
-        confirmed: bool,
+        /// With it, the whole list is known to have been current at this moment; none if that is not known.
+        current_as_of: Option<Instant>,
         /// How long the poll took that it answers.
         poll_duration: Option<Duration>,
     },
     /// The open watch reports that nothing has changed.
-    EndpointsConfirmed,
+    EndpointsConfirmed {
+        /// Up to this moment.
+        as_of: Instant,
+    },
     /// The open watch has sent a list that cannot be read.
     EndpointsUnreadable,
     /// Discovery has another address from now on.
--- a/crates/node/src/dispatch/task/mod.rs
+++ b/crates/node/src/dispatch/task/mod.rs
@@ -16,6 +16,7 @@
 use curlewusher_control::maintenance::DisabledWorkers;
 use curlewusher_core::{Action, Dispatcher, Endpoint, Event, Micros, Outcome, WorkerId};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 use tracing::trace;
 
 use super::clock::Clock;
@@ -205,16 +206,16 @@
             DispatchMessage::AttemptAccepted(id) => self.handle_attempt_accepted(id),
             DispatchMessage::AttemptEnded(id, outcome) => self.end_attempt(id, outcome),
             DispatchMessage::AttemptCancelled(id) => self.handle_attempt_cancelled(id),
-            DispatchMessage::EndpointsChanged { endpoints, snapshot, confirmed, poll_duration } => {
+            DispatchMessage::EndpointsChanged { endpoints, snapshot, current_as_of, poll_duration } => {
                 if let Some(duration) = poll_duration {
                     self.apply_event(Event::PollAnswered { duration: duration.as_micros() as Micros });
                 }
                 self.update_endpoints(self.clock.now(), endpoints, snapshot);
-                if confirmed {
-                    self.apply_event(Event::EndpointsConfirmed);
+                if let Some(as_of) = current_as_of {
+                    self.confirm_endpoints(as_of);
                 }
             }
-            DispatchMessage::EndpointsConfirmed => self.apply_event(Event::EndpointsConfirmed),
+            DispatchMessage::EndpointsConfirmed { as_of } => self.confirm_endpoints(as_of),
             DispatchMessage::EndpointsUnreadable => self.apply_event(Event::EndpointsUnreadable),
             DispatchMessage::DiscoveryMoved => self.apply_event(Event::DiscoveryMoved),
             DispatchMessage::WatchFailed => self.apply_event(Event::WatchFailed),
@@ -251,6 +252,12 @@
         self.perform_actions();
     }
 
+    /// Discovery has confirmed the list as it was at this moment, which may be some time ago.
+    fn confirm_endpoints(&mut self, as_of: Instant) {
+        let as_of = self.clock.moment_of(as_of);
+        self.apply_event(Event::EndpointsConfirmed { as_of });
+    }
+
     /// Hands an event to the dispatcher and performs what it wants done.
     fn apply_event(&mut self, event: Event) {
         self.dispatcher.handle(self.clock.now(), event, &mut self.actions);
--- a/crates/node/src/handover/takeover/mod.rs
+++ b/crates/node/src/handover/takeover/mod.rs
@@ -14,6 +14,7 @@
 
 use bytes::Bytes;
 use curlewusher_control::takeover::{Takeover, TakeoverCommand, TakeoverEvent};
+use curlewusher_core::permission::ServingPermission;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
 
@@ -29,9 +30,6 @@
 use crate::server::Server;
 use crate::upstream::UpstreamClient;
 
-/// How long a successor with a saved endpoint list waits for discovery before it uses the saved one; an upgrade
-/// has 6 s in all.
-const ENDPOINTS_TIMEOUT: Duration = Duration::from_millis(3000);
 /// How long a process that is shutting down waits until its last frames are written.
 const LAST_FRAMES_TIMEOUT: Duration = Duration::from_millis(300);
 /// How many hellos wait for the task; a further one is rejected as busy.
@@ -154,7 +152,8 @@
             rendezvous_listener: Rc::clone(&rendezvous_listener),
             admin: parts.admin.clone(),
         };
-        let saved_endpoints_delay = saved_endpoints_delay(predecessor.is_some(), has_saved_endpoints);
+        let permission = ServingPermission { has_saved_endpoints, has_predecessor: predecessor.is_some() };
+        let saved_endpoints_delay = permission.without_answer_after().map(Duration::from_micros);
         let inputs = TakeoverInputs { hellos, local_events, endpoints_available, saved_endpoints_delay };
         let task = TakeoverTask {
             parts,
@@ -248,16 +247,7 @@
     }
 }
 
-/// How long a process waits for discovery before it uses its saved endpoint list. None where it has none.
-fn saved_endpoints_delay(has_predecessor: bool, has_saved_endpoints: bool) -> Option<Duration> {
-    match (has_predecessor, has_saved_endpoints) {
-        (false, true) => Some(Duration::ZERO),
-        (true, true) => Some(ENDPOINTS_TIMEOUT),
-        (_, false) => None,
-    }
-}
-
-/// Waits for discovery's endpoint list, or until the saved one is to be used.
+/// Waits for discovery's endpoint list, or until the process may say that it is ready without one.
 async fn wait_for_endpoints(
     mut endpoints_available: watch::Receiver<bool>,
     saved_endpoints_delay: Option<Duration>,
--- a/crates/node/src/server/connection/mod.rs
+++ b/crates/node/src/server/connection/mod.rs
@@ -20,6 +20,7 @@
 use std::task::{Poll, Waker};
 use std::time::Duration;
 
+use curlewusher_core::permission::{CloseReason, ConnectionUse, Denial, STALLED_AFTER, may_close_connection};
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 use tokio::time::Instant;
@@ -32,18 +33,8 @@
 pub const READ_CHUNK_BYTES: usize = 4096;
 /// Longest head of a request, in bytes; hyper's read buffer has the same bound.
 pub const MAX_HEAD_BYTES: usize = 16 << 10;
-/// A request that has begun must be whole within this, and on a new connection one must have come. Good
-/// clients take up to 2 s to write one; a request that cannot be read must be answered or closed within 3 s.
-pub const READ_TIMEOUT: Duration = Duration::from_millis(2700);
 /// A peer that takes no byte of its response for this long is treated as disconnected.
 pub const WRITE_TIMEOUT: Duration = Duration::from_millis(10_000);
-/// A new connection may be evicted after this: its first request may be on its way.
-const MIN_NEW_AGE_FOR_EVICTION: Duration = Duration::from_millis(50);
-/// An idle connection may be evicted this long after its last response.
-const MIN_IDLE_AGE_FOR_EVICTION: Duration = Duration::from_millis(200);
-/// A peer that has neither sent a byte of its request nor taken one of its response for this long has
-/// stalled.
-const STALLED_AFTER: Duration = Duration::from_millis(800);
 
 /// State of a connection, in the order in which connections are evicted when descriptors run low.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -207,31 +198,37 @@
 
     /// Whether the time for its request, or between two requests, is up.
     pub fn is_timed_out(&self, idle_timeout: Duration) -> bool {
-        match self.state.get() {
-            ConnectionState::New | ConnectionState::Reading => self.request_age() >= READ_TIMEOUT,
-            ConnectionState::Idle => self.state_since.get().elapsed() >= idle_timeout,
-            ConnectionState::Busy | ConnectionState::Lingering => false,
-        }
+        self.may_close(CloseReason::Timeout { idle_timeout }).is_ok()
     }
 
     /// Whether its client can be sent elsewhere unharmed: it has sent no part of a request, for long enough
     /// that none is likely to be on its way. One that is sending may finish.
     pub fn is_redirectable(&self) -> bool {
-        matches!(self.state.get(), ConnectionState::New | ConnectionState::Idle)
-            && !self.is_worker.get()
-            && self.is_evictable()
+        !self.is_worker.get() && self.may_close(CloseReason::Redirection).is_ok()
     }
 
     /// Whether it may be evicted. A young connection may not: a request may have been sent that was not read
     /// yet.
     pub fn is_evictable(&self) -> bool {
+        self.may_close(CloseReason::Eviction).is_ok()
+    }
+
+    fn may_close(&self, reason: CloseReason) -> Result<(), Denial> {
+        may_close_connection(self.carries(), reason)
+    }
+
+    /// What the connection carries now, for the decision whether it may be closed.
+    fn carries(&self) -> ConnectionUse {
+        let age = self.state_since.get().elapsed();
+        let request_age = self.request_age();
         match self.state.get() {
-            ConnectionState::Lingering => true,
-            ConnectionState::New => self.state_since.get().elapsed() >= MIN_NEW_AGE_FOR_EVICTION,
-            // A request that makes progress is a slow client's; one that has stalled is abandoned.
-            ConnectionState::Reading => self.last_progress.get().elapsed() >= STALLED_AFTER,
-            ConnectionState::Idle => self.state_since.get().elapsed() >= MIN_IDLE_AGE_FOR_EVICTION,
-            ConnectionState::Busy => false,
+            ConnectionState::Lingering => ConnectionUse::Lingering,
+            ConnectionState::New => ConnectionUse::New { age, request_age },
+            ConnectionState::Reading => {
+                ConnectionUse::Reading { request_age, stalled_for: self.last_progress.get().elapsed() }
+            }
+            ConnectionState::Idle => ConnectionUse::Idle { age },
+            ConnectionState::Busy => ConnectionUse::Busy,
         }
     }
 }
--- a/crates/node/src/server/request_body.rs
+++ b/crates/node/src/server/request_body.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use curlewusher_core::permission::READ_TIMEOUT;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
-use super::connection::{Connection, ConnectionState, READ_TIMEOUT};
+use super::connection::{Connection, ConnectionState};
 use super::error::RequestError;
 
 /// Largest body, in bytes.
