--- a/crates/node/tests/command_line/mod.rs
+++ b/crates/node/tests/command_line/mod.rs
@@ -2,7 +2,7 @@
 
 use std::process::{Command, Output};
 
-use crate::common::{Node, ScriptedServer, node_config, wait_for_counter};
+use crate::common::{Node, ScriptedServer, ScriptedWatch, node_config, wait_for_counter};
 
 /// Runs the program to its end.
 fn run(arguments: &[&str], config: Option<&str>, operator: Option<&str>) -> Output {
@@ -95,6 +95,7 @@
     let known = [worker.endpoint_json("s-1", "in_service")];
     let debug = "[log]\nformat = \"json\"\n[log.parts]\ndispatch = \"debug\"\n";
     let node = Node::start_with_operator_file(&node_config(discovery.address, &known), debug);
+    let _watch = ScriptedWatch::answer(&discovery, &known);
     let serve = |id: &str| {
         let client = node.submit_job(id, "view", 5.0);
         node.serve_job(client, &worker.next_request(), id, "s-1");
@@ -132,6 +133,7 @@
     let settings = node_config(discovery.address, &known);
     let loud = "[log]\nlevel = \"trace\"\nlines_per_s = 100000\nwaiting_lines = 16\n";
     let (node, _stalled) = Node::start_with_blocked_stderr(&settings, loud);
+    let _watch = ScriptedWatch::answer(&discovery, &known);
     let dropped = r#"curlewusher_log_lines_dropped_total{why="stalled"}"#;
     // A pipe takes 64 KiB before it stalls; every turned-away request is a line.
     let mut requests = 0;
