Permits follow the lease; violations are counted on /metrics and logged with reason

Need: a permit was fixed when its attempt was decided on, so that a lease that was shortened since (an unreadable list, a moved discovery) did not reach it; and nothing told at run time that something had been sent without permission. Change: all permits share the lease; the socket checks once more after the first byte; an attempt beside another of its job at the same worker is refused and counted; curlewusher_violations_total by reason. The log says when jobs begin to wait for discovery and when they are sent again. X-Deadline is stated when there is a connection, not when the attempt is decided on.

--- a/crates/core/src/permission/mod.rs
+++ b/crates/core/src/permission/mod.rs
@@ -6,23 +6,16 @@
 //!
 //! | question | asked by | answered by |
 //! | --- | --- | --- |
-//! | may a job be sent to a worker, first, again or as a hedged request? | placement, retries, and each send at last | [`Dispatcher::may_send`], [`Dispatcher::check_send`] |
-//! | may anything be decided by the endpoint list? | pending queue, hedging, relocation | [`Dispatcher::check_endpoint_lease`] |
-//! | until when may the first byte of an attempt be written? | the embedder's transport, by [`Action::SendAttempt`](crate::Action::SendAttempt) and [`Dispatcher::endpoints_write_by`] | `endpoint_lease`, `sending` |
-//! | may a job be rejected, so that its client may repeat it? | deadlines, retries, admission | [`Dispatcher::may_reject`] |
+//! | may a job be sent to a worker, first, again or as a hedged request? | placement, retries, and each send at last | `Dispatcher::may_send`, `Dispatcher::check_send` |
+//! | may anything be decided by the endpoint list? | pending queue, hedging, relocation | `Dispatcher::check_endpoint_lease` |
+//! | until when may the first byte of an attempt be written? | the embedder's transport, by [`Action::SendAttempt`](crate::Action::SendAttempt) and `Dispatcher::endpoints_write_by` | `endpoint_lease`, `sending` |
+//! | may a job be rejected, so that its client may repeat it? | deadlines, retries, admission | `Dispatcher::may_reject` |
 //! | may a client's connection be closed? | the embedder's server | [`may_close_connection`] |
 //! | may a process say that it is ready? | the embedder's start | [`ServingPermission`] |
 //!
 //! A limit that runs out unless something positive is learned is renewed by that only: never by a failure, an end, a
 //! start or the passing of time. What is decided without permission all the same is a violation: it is not carried out,
 //! and [`Violations`] counts it.
-//!
-//! [`Dispatcher`]: crate::Dispatcher
-//! [`Dispatcher::may_send`]: crate::Dispatcher
-//! [`Dispatcher::check_send`]: crate::Dispatcher
-//! [`Dispatcher::check_endpoint_lease`]: crate::Dispatcher
-//! [`Dispatcher::may_reject`]: crate::Dispatcher
-
 mod answering;
 mod closing;
 mod denial;
--- a/crates/core/src/permission/sending.rs
+++ b/crates/core/src/permission/sending.rs
@@ -10,7 +10,10 @@
 
 impl Dispatcher {
     /// Whether new attempts may be decided on by the endpoint list. If not, jobs wait for the next confirmation.
-    pub(crate) fn check_endpoint_lease(&self, now: Micros) -> Result<(), Denial> {
+    ///
+    /// # Errors
+    /// Why the list may not be used: discovery has not confirmed it, or too long ago.
+    pub fn check_endpoint_lease(&self, now: Micros) -> Result<(), Denial> {
         self.poll_schedule.check_lease(now)
     }
 
--- a/crates/core/src/permission/serving.rs
+++ b/crates/core/src/permission/serving.rs
@@ -2,8 +2,6 @@
 
 use crate::Micros;
 
-use super::Denial;
-
 /// How long after its start a process waits for its first answer of discovery before it says that it is ready with its
 /// saved list alone. A ready process without an answer holds the jobs that it takes, so that clients are better off at
 /// other nodes; but when discovery is away for long, nobody would take jobs at all.
@@ -30,10 +28,4 @@
             ServingPermission { has_predecessor: false, .. } => Some(MAX_WAIT_FOR_ENDPOINTS),
         }
     }
-
-    /// Whether the process may say that it is ready, so many microseconds after its start.
-    pub fn check(self, is_answered: bool, since_start: Micros) -> Result<(), Denial> {
-        let may_serve = is_answered || self.without_answer_after().is_some_and(|wait| since_start >= wait);
-        if may_serve { Ok(()) } else { Err(Denial::EndpointsUnconfirmed) }
-    }
 }
--- a/crates/node/src/dispatch/mod.rs
+++ b/crates/node/src/dispatch/mod.rs
@@ -20,6 +20,7 @@
 mod messages;
 mod migration;
 mod outcomes;
+mod permission_monitor;
 mod task;
 mod timers;
 mod transport;
--- /dev/null
+++ b/crates/node/src/dispatch/permission_monitor.rs
@@ -0,0 +1,85 @@
+//! Watches what the dispatcher permits: keeps the lease on the endpoint list where sockets can see it, logs when the
+//! node begins and ends to hold jobs, and counts violations.
+
+use std::rc::Rc;
+
+use curlewusher_core::permission::{Denial, Violations};
+use curlewusher_core::{Dispatcher, Micros};
+use tracing::{error, info, warn};
+
+use super::clock::Clock;
+use crate::telemetry::logging::DISPATCH;
+use crate::telemetry::metrics::Metrics;
+use crate::upstream::send_permit::SendLease;
+
+/// What was last seen of the dispatcher's permissions.
+pub(super) struct PermissionMonitor {
+    clock: Clock,
+    metrics: Metrics,
+    lease: Rc<SendLease>,
+    /// Why jobs are held; none while they are sent.
+    denial: Option<Denial>,
+    violations: Violations,
+}
+
+impl PermissionMonitor {
+    /// A monitor of a dispatcher that has handled no event.
+    pub(super) fn new(clock: Clock, metrics: Metrics) -> Self {
+        PermissionMonitor {
+            clock,
+            metrics,
+            lease: Rc::default(),
+            denial: None,
+            violations: Violations::default(),
+        }
+    }
+
+    /// The lease that the permits of all attempts share.
+    pub(super) fn lease(&self) -> Rc<SendLease> {
+        Rc::clone(&self.lease)
+    }
+
+    /// To be called after each event that the dispatcher has handled, and before its actions are performed.
+    pub(super) fn observe(&mut self, now: Micros, dispatcher: &Dispatcher) {
+        let write_by = dispatcher.endpoints_write_by();
+        self.lease.set_deadline(write_by.map(|moment| self.clock.instant_at(moment)));
+        let denial = dispatcher.check_endpoint_lease(now).err();
+        if denial != self.denial {
+            self.denial = denial;
+            log_lease(denial);
+        }
+        if dispatcher.violations().total() > self.violations.total() {
+            self.report_violations(*dispatcher.violations());
+        }
+    }
+
+    /// Counts something that was about to be done without permission, or was done.
+    pub(super) fn record_violation(&self, reason: Denial, request_id: &str) {
+        self.metrics.record_violation(reason);
+        error!(target: DISPATCH, %reason, request_id, "violation: an attempt had no permission");
+    }
+
+    fn report_violations(&mut self, violations: Violations) {
+        for reason in Denial::ALL {
+            for _ in self.violations.count(reason)..violations.count(reason) {
+                self.metrics.record_violation(reason);
+                error!(target: DISPATCH, %reason, "violation: a send was decided on without permission, and is not made");
+            }
+        }
+        self.violations = violations;
+    }
+}
+
+fn log_lease(denial: Option<Denial>) {
+    match denial {
+        None => info!(target: DISPATCH, "discovery has confirmed the endpoint list: jobs are sent"),
+        Some(Denial::EndpointsUnconfirmed) => {
+            info!(target: DISPATCH, "jobs wait until discovery has answered: the saved endpoint list may be old");
+        }
+        Some(reason) => warn!(
+            target: DISPATCH,
+            %reason,
+            "jobs wait until discovery confirms the endpoint list; see that discovery runs and can be reached"
+        ),
+    }
+}
--- a/crates/node/src/dispatch/task/actions.rs
+++ b/crates/node/src/dispatch/task/actions.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use curlewusher_core::permission::Denial;
 use curlewusher_core::{Action, JobId, Micros, Outcome, WorkerId};
 use tokio::sync::oneshot;
 use tracing::debug;
@@ -14,7 +15,7 @@
 use crate::dispatch::transport::{AttemptId, AttemptRequest, AttemptTransport};
 use crate::telemetry::logging::DISPATCH;
 use crate::telemetry::metrics::Counter;
-use crate::upstream::send_permit::SendPermit;
+use crate::upstream::send_permit::{SendPermit, SendPermitParts};
 
 /// Where and how an attempt is to be sent.
 struct AttemptSpec {
@@ -84,8 +85,17 @@
         let (cancel, cancel_receiver) = oneshot::channel();
         let worker = self.endpoints.get(spec.worker);
         let send_by = spec.send_by.map(|moment| self.clock.instant_at(moment));
-        let send_permit = SendPermit::new(job.job_handle.client_gone_flag(), send_by);
+        let request_id = Rc::clone(&job.request_id);
+        let send_permit = SendPermit::new(SendPermitParts {
+            request_id: Rc::clone(&request_id),
+            client_gone: job.job_handle.client_gone_flag(),
+            deadline: send_by,
+            lease: self.permissions.lease(),
+        });
         let worker_name = worker.map_or_else(|| "".into(), |worker| Rc::clone(&worker.name));
+        // The dispatcher knows of its attempts by their reports; what is recorded here was seen on sockets.
+        let is_duplicate =
+            job.attempts.iter().any(|other| !other.has_ended() && other.worker_name == worker_name);
         job.attempts.push(Attempt {
             worker_name: Rc::clone(&worker_name),
             address: worker.map(|worker| worker.address),
@@ -97,11 +107,14 @@
             send_permit: Rc::clone(&send_permit),
             expires_at,
         });
+        if is_duplicate {
+            self.permissions.record_violation(Denial::AttemptInFlight, &request_id);
+            return SendResult::NotSent(id);
+        }
         let Some(worker) = worker.filter(|_| send_permit.is_valid()) else { return SendResult::NotSent(id) };
         let address = worker.address;
         self.timers.schedule(expires_at, Timer::AttemptTimeout(id));
         self.metrics.add(Counter::AttemptsStarted);
-        let request_id = Rc::clone(&job.request_id);
         debug!(
             target: DISPATCH,
             %request_id,
--- a/crates/node/src/dispatch/task/mod.rs
+++ b/crates/node/src/dispatch/task/mod.rs
@@ -24,6 +24,7 @@
 use super::jobs::{JobOwner, JobTable};
 use super::messages::{DispatchCommand, DispatchMessage, TransferableState};
 use super::migration::Migrations;
+use super::permission_monitor::PermissionMonitor;
 use super::timers::{Timer, TimerQueue};
 use super::transport::AttemptTransport;
 use crate::telemetry::logging::DISPATCH;
@@ -64,6 +65,7 @@
     endpoints: EndpointTable,
     disabled_workers: DisabledWorkers,
     timers: TimerQueue,
+    permissions: PermissionMonitor,
     /// What the dispatcher wants done; empty between two events.
     actions: Vec<Action>,
 }
@@ -72,6 +74,7 @@
     /// A task without jobs and without endpoints.
     pub fn new(parts: DispatchParts<T>) -> Self {
         DispatchTask {
+            permissions: PermissionMonitor::new(parts.clock, parts.metrics.clone()),
             dispatcher: parts.dispatcher,
             clock: parts.clock,
             transport: parts.transport,
@@ -95,7 +98,7 @@
         // The saved list has the same time as the first expiry of a timer: by that the dispatcher knows that
         // it does not come from discovery.
         let now = self.clock.now();
-        self.dispatcher.handle(now, Event::TimerExpired, &mut self.actions);
+        self.decide(now, Event::TimerExpired);
         self.update_endpoints(now, saved_endpoints, true);
         loop {
             let next_expiry = self.timers.next_expiry().map(|expiry| self.clock.instant_at(expiry));
@@ -248,8 +251,7 @@
             }
         }
         let event = Event::EndpointsChanged { endpoints: &entries, snapshot };
-        self.dispatcher.handle(now, event, &mut self.actions);
-        self.perform_actions();
+        self.decide(now, event);
     }
 
     /// Discovery has confirmed the list as it was at this moment, which may be some time ago.
@@ -260,7 +262,12 @@
 
     /// Hands an event to the dispatcher and performs what it wants done.
     fn apply_event(&mut self, event: Event) {
-        self.dispatcher.handle(self.clock.now(), event, &mut self.actions);
+        self.decide(self.clock.now(), event);
+    }
+
+    fn decide(&mut self, now: Micros, event: Event) {
+        self.dispatcher.handle(now, event, &mut self.actions);
+        self.permissions.observe(now, &self.dispatcher);
         self.perform_actions();
     }
 }
--- a/crates/node/src/telemetry/metrics/mod.rs
+++ b/crates/node/src/telemetry/metrics/mod.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use curlewusher_core::permission::Denial;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter as RegisteredCounter;
 use prometheus_client::metrics::family::Family;
@@ -28,6 +29,8 @@
 struct Inner {
     /// By [`Counter`].
     counters: Vec<RegisteredCounter>,
+    /// By [`Denial`].
+    violations: Vec<RegisteredCounter>,
     /// By index of the class.
     response_times: Vec<ClassHistograms>,
     registry: Registry,
@@ -44,9 +47,11 @@
     ) -> Self {
         let mut registry = Registry::default();
         let counters = register_counters(&mut registry);
+        let violations = register_violations(&mut registry);
         let response_times = register_response_times(&mut registry, class_names, response_time_bounds_s);
         Metrics(Arc::new(Inner {
             counters,
+            violations,
             response_times,
             registry,
             dropped_lines: Box::new(dropped_lines),
@@ -58,6 +63,11 @@
         self.0.counters[counter as usize].inc();
     }
 
+    /// Counts something that was decided or done without permission.
+    pub fn record_violation(&self, reason: Denial) {
+        self.0.violations[reason as usize].inc();
+    }
+
     /// Counts a response, and its time for a class that this node knows.
     pub fn record_response(&self, kind: ResponseKind, class: usize, elapsed: Duration) {
         self.add(kind.counter());
@@ -102,6 +112,14 @@
     counters
 }
 
+/// Registers the counters of violations, in the order of [`Denial::ALL`].
+fn register_violations(registry: &mut Registry) -> Vec<RegisteredCounter> {
+    let family = Family::<Labels, RegisteredCounter>::default();
+    let help = "What was decided or done without permission, by reason; any is a fault of the program";
+    registry.register("curlewusher_violations", help, family.clone());
+    Denial::ALL.map(|reason| family.get_or_create_owned(&vec![("reason", reason.name().to_owned())])).into()
+}
+
 /// Registers the histograms of response times, by class and kind of response.
 fn register_response_times(
     registry: &mut Registry,
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -59,11 +59,12 @@
         let AttemptRequest { id, request_id, address, payload, timeout, cancel, send_permit } = request;
         let attempt = Attempt { id, request_id, address, deadline: Instant::now() + timeout };
         let mut cancel = CancelSignal::from(cancel);
-        let outcome = match payload.to_request(address, timeout) {
+        let outcome = match payload.to_request(address) {
             Ok(request) => {
                 let exchange = Exchange {
                     address,
                     request,
+                    client_deadline: Some(attempt.deadline),
                     send_permit: &send_permit,
                     cancel: &mut cancel,
                     response_timeout: timeout + LATE_RESPONSE_TIMEOUT,
--- a/crates/node/src/upstream/cancellation.rs
+++ b/crates/node/src/upstream/cancellation.rs
@@ -119,7 +119,14 @@
         let response_timeout = self.response_timeout();
         let Ok(request) = target.to_request() else { return ExchangeOutcome::Unreachable };
         let cancel = &mut CancelSignal::never();
-        let exchange = Exchange { address: target.address, request, send_permit, cancel, response_timeout };
+        let exchange = Exchange {
+            address: target.address,
+            request,
+            client_deadline: None,
+            send_permit,
+            cancel,
+            response_timeout,
+        };
         exchange.run(&self.pool).await
     }
 
--- a/crates/node/src/upstream/exchange.rs
+++ b/crates/node/src/upstream/exchange.rs
@@ -12,10 +12,10 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
 use hyper::{Response, StatusCode};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::upstream::cancel_signal::CancelSignal;
-use crate::upstream::payload::UpstreamRequest;
+use crate::upstream::payload::{UpstreamRequest, set_time_left};
 use crate::upstream::pool::ConnectionPool;
 use crate::upstream::pool::connection::{ConnectError, Connection, RequestError};
 use crate::upstream::send_permit::SendPermit;
@@ -33,6 +33,9 @@
     pub address: SocketAddr,
     /// The request.
     pub request: UpstreamRequest,
+    /// When the client stops waiting, which the request states as the time that is left when it is sent. None: the
+    /// request states nothing.
+    pub client_deadline: Option<Instant>,
     /// Checked once there is a connection, which is kept if the permit is no longer valid, and once more
     /// by the socket before the first byte.
     pub send_permit: &'a Rc<SendPermit>,
@@ -137,7 +140,11 @@
 
     async fn send(&mut self, connection: &mut Connection) -> SendOutcome {
         let traffic = connection.traffic();
-        let response = connection.send(self.request.clone(), self.send_permit.clone());
+        let mut request = self.request.clone();
+        if let Some(deadline) = self.client_deadline {
+            set_time_left(&mut request, deadline.saturating_duration_since(Instant::now()));
+        }
+        let response = connection.send(request, self.send_permit.clone());
         let mut response = pin!(timeout(self.response_timeout, response));
         let result = tokio::select! {
             biased;
--- a/crates/node/src/upstream/payload.rs
+++ b/crates/node/src/upstream/payload.rs
@@ -35,18 +35,13 @@
 }
 
 impl RequestPayload {
-    /// The request of an attempt at the worker at `address` that has `timeout` left.
-    pub fn to_request(
-        &self,
-        address: SocketAddr,
-        timeout: Duration,
-    ) -> Result<UpstreamRequest, hyper::http::Error> {
+    /// The request of an attempt at the worker at `address`. [`set_time_left`] completes it when it is sent.
+    pub fn to_request(&self, address: SocketAddr) -> Result<UpstreamRequest, hyper::http::Error> {
         let mut request = Request::builder()
             .method(self.method.clone())
             .uri(self.path.clone())
             .header(HOST, address.to_string())
-            .header(X_REQUEST_ID, self.request_id.clone())
-            .header(X_DEADLINE, format!("{:.3}", timeout.as_secs_f64()));
+            .header(X_REQUEST_ID, self.request_id.clone());
         if let Some(key) = &self.idempotency_key {
             request = request.header(IDEMPOTENCY_KEY, key.clone());
         }
@@ -56,3 +51,13 @@
         request.body(Full::new(self.body.clone()))
     }
 }
+
+/// States in a request how long its sender will wait. To be called when there is a connection: until then time passes.
+pub fn set_time_left(request: &mut UpstreamRequest, time_left: Duration) {
+    // Whole milliseconds, rounded down: never more than is left.
+    let milliseconds = time_left.as_millis();
+    let seconds = format!("{}.{:03}", milliseconds / 1000, milliseconds % 1000);
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        request.headers_mut().insert(X_DEADLINE, value);
+    }
+}
--- a/crates/node/src/upstream/pool/socket.rs
+++ b/crates/node/src/upstream/pool/socket.rs
@@ -10,7 +10,8 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tracing::debug;
+use tokio::time::Instant;
+use tracing::{debug, error};
 
 use crate::telemetry::logging::UPSTREAM;
 use crate::telemetry::metrics::{Counter, Metrics};
@@ -95,13 +96,26 @@
     }
 
     fn record_write(&self, written: io::Result<usize>) -> io::Result<usize> {
-        if matches!(written, Ok(1..)) {
-            self.traffic.request_written.set(true);
+        if matches!(written, Ok(1..)) && !self.traffic.request_written.replace(true) {
+            self.check_first_byte();
         }
         written
     }
 }
 
+impl Socket {
+    /// Counts a first byte that was sent too late all the same, as when the process was held up before the write.
+    fn check_first_byte(&self) {
+        let Some(send_permit) = self.traffic.send_permit.borrow().clone() else { return };
+        if let Err(reason) = send_permit.check_sent(Instant::now()) {
+            self.metrics.record_violation(reason);
+            let request_id = send_permit.request_id();
+            let address = self.stream.peer_addr().ok();
+            error!(target: UPSTREAM, %reason, request_id, ?address, "violation: an attempt was sent without permission");
+        }
+    }
+}
+
 impl AsyncRead for Socket {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/node/src/upstream/send_permit.rs
+++ b/crates/node/src/upstream/send_permit.rs
@@ -7,28 +7,41 @@
 use std::cell::Cell;
 use std::future::pending;
 use std::rc::Rc;
+use std::time::Duration;
 
+use curlewusher_core::permission::Denial;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 
+/// A node may be held up for this long between reading its clock and writing; the limits of permits allow for it.
+const MAX_HOLD: Duration = Duration::from_millis(150);
+/// A first byte that leaves later than this after the client has gone counts as an attempt for nobody.
+const MAX_WRITE_AFTER_CLIENT: Duration = Duration::from_millis(100);
+
 /// A flag that is raised once and wakes those who wait for that, in the order in which they began to wait.
 #[derive(Default)]
 pub struct CancelFlag {
-    raised: Cell<bool>,
+    raised_at: Cell<Option<Instant>>,
     waiters: Notify,
 }
 
 impl CancelFlag {
     /// Raises the flag. Does nothing if it is raised already.
     pub fn raise(&self) {
-        if !self.raised.replace(true) {
+        if !self.is_raised() {
+            self.raised_at.set(Some(Instant::now()));
             self.waiters.notify_waiters();
         }
     }
 
     /// Whether it is raised.
     pub fn is_raised(&self) -> bool {
-        self.raised.get()
+        self.raised_at.get().is_some()
+    }
+
+    /// Whether it was raised longer than `span` before `now`.
+    fn was_raised_before(&self, now: Instant, span: Duration) -> bool {
+        self.raised_at.get().is_some_and(|at| now > at + span)
     }
 
     /// Returns once it is raised.
@@ -45,23 +58,56 @@
     }
 }
 
-/// Whether the first byte of one attempt may still be sent. It ends by the first of three:
+/// The lease on the endpoint list, as the permits of all attempts see it. The dispatch task alone changes it.
+#[derive(Default)]
+pub struct SendLease(Cell<Option<Instant>>);
+
+impl SendLease {
+    /// Attempts that were decided on so far may be written before this moment; None: at any time.
+    pub fn set_deadline(&self, deadline: Option<Instant>) {
+        self.0.set(deadline);
+    }
+
+    fn has_expired(&self, now: Instant) -> bool {
+        self.0.get().is_some_and(|deadline| now >= deadline)
+    }
+}
+
+/// Whether the first byte of one attempt may still be sent. It ends by the first of four:
 ///
 /// - the dispatch task, which alone creates and revokes permits, revokes it;
 /// - the client disconnects: the job's server task raises that flag directly, since in the queue of the
 ///   dispatch task it might wait behind others;
-/// - a deadline passes.
+/// - a deadline passes, which was fixed when the attempt was decided on;
+/// - the lease on the endpoint list expires, which may have been shortened since.
 #[derive(Default)]
 pub struct SendPermit {
+    parts: SendPermitParts,
     revoked: CancelFlag,
-    client_gone: Rc<CancelFlag>,
-    deadline: Option<Instant>,
+}
+
+/// What a [`SendPermit`] is made of.
+#[derive(Default)]
+pub struct SendPermitParts {
+    /// The client's id of the job, for the log.
+    pub request_id: Rc<str>,
+    /// Raised when the client has disconnected.
+    pub client_gone: Rc<CancelFlag>,
+    /// The first byte must be sent before this moment.
+    pub deadline: Option<Instant>,
+    /// The lease on the endpoint list.
+    pub lease: Rc<SendLease>,
 }
 
 impl SendPermit {
-    /// A permit that ends with `client_gone`, and at `deadline` if there is one.
-    pub fn new(client_gone: Rc<CancelFlag>, deadline: Option<Instant>) -> Rc<SendPermit> {
-        Rc::new(SendPermit { revoked: CancelFlag::default(), client_gone, deadline })
+    /// A permit that nothing has ended yet.
+    pub fn new(parts: SendPermitParts) -> Rc<SendPermit> {
+        Rc::new(SendPermit { parts, revoked: CancelFlag::default() })
+    }
+
+    /// The client's id of the job.
+    pub fn request_id(&self) -> &str {
+        &self.parts.request_id
     }
 
     /// Ends the permit.
@@ -71,22 +117,49 @@
 
     /// Whether the first byte may be sent now.
     pub fn is_valid(&self) -> bool {
-        let is_expired = || self.deadline.is_some_and(|deadline| Instant::now() >= deadline);
-        !self.revoked.is_raised() && !self.client_gone.is_raised() && !is_expired()
+        self.check(Instant::now()).is_ok()
+    }
+
+    /// Whether the first byte may be sent at this moment.
+    pub fn check(&self, now: Instant) -> Result<(), Denial> {
+        self.check_with_delay(now, Duration::ZERO, Duration::ZERO)
+    }
+
+    /// Checks a first byte that was sent by this moment, with the delays that the rules allow for.
+    pub fn check_sent(&self, now: Instant) -> Result<(), Denial> {
+        self.check_with_delay(now, MAX_HOLD, MAX_WRITE_AFTER_CLIENT)
+    }
+
+    fn check_with_delay(&self, now: Instant, hold: Duration, after_client: Duration) -> Result<(), Denial> {
+        if self.revoked.is_raised() && (hold.is_zero() || self.revoked.was_raised_before(now, hold)) {
+            return Err(Denial::WorkerUnavailable);
+        }
+        let client_gone = &self.parts.client_gone;
+        if client_gone.is_raised() && (hold.is_zero() || client_gone.was_raised_before(now, after_client)) {
+            return Err(Denial::ClientGone);
+        }
+        let latest = now.checked_sub(hold).unwrap_or(now);
+        if self.parts.deadline.is_some_and(|deadline| latest >= deadline) {
+            return Err(Denial::WriteTooLate);
+        }
+        if self.parts.lease.has_expired(latest) {
+            return Err(Denial::EndpointsExpired);
+        }
+        Ok(())
     }
 
-    /// Returns once the permit is not valid any more.
+    /// Returns once the permit is not valid any more, but for a lease that was shortened.
     pub async fn invalidated(&self) {
         tokio::select! {
             biased;
             () = self.revoked.wait() => {}
-            () = self.client_gone.wait() => {}
+            () = self.parts.client_gone.wait() => {}
             () = self.expired() => {}
         }
     }
 
     async fn expired(&self) {
-        match self.deadline {
+        match self.parts.deadline {
             Some(deadline) => sleep_until(deadline).await,
             None => pending().await,
         }
--- a/crates/node/tests/command_line/mod.rs
+++ b/crates/node/tests/command_line/mod.rs
@@ -96,6 +96,7 @@
     let debug = "[log]\nformat = \"json\"\n[log.parts]\ndispatch = \"debug\"\n";
     let node = Node::start_with_operator_file(&node_config(discovery.address, &known), debug);
     let _watch = ScriptedWatch::answer(&discovery, &known);
+    node.wait_for_log_line("discovery has confirmed");
     let serve = |id: &str| {
         let client = node.submit_job(id, "view", 5.0);
         node.serve_job(client, &worker.next_request(), id, "s-1");
--- a/crates/node/tests/unit/send_permit.rs
+++ b/crates/node/tests/unit/send_permit.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::{Instant, timeout};
 
-use super::{CancelFlag, SendPermit};
+use super::{CancelFlag, Denial, SendLease, SendPermit, SendPermitParts};
 
 const LONG: Duration = Duration::from_secs(3600);
 const PERMIT_TIME: Duration = Duration::from_secs(1);
@@ -24,7 +24,13 @@
     for cause in [Cause::Revoked, Cause::ClientGone, Cause::Deadline] {
         let client_gone = Rc::<CancelFlag>::default();
         let deadline = (cause == Cause::Deadline).then(|| Instant::now() + PERMIT_TIME);
-        let send_permit = SendPermit::new(client_gone.clone(), deadline);
+        let lease = Rc::<SendLease>::default();
+        let send_permit = SendPermit::new(SendPermitParts {
+            client_gone: client_gone.clone(),
+            deadline,
+            lease: lease.clone(),
+            ..SendPermitParts::default()
+        });
         let end_permit = async {
             tokio::time::sleep(JUST_BEFORE_DEADLINE).await;
             assert!(send_permit.is_valid());
@@ -47,3 +53,37 @@
     let send_permit = SendPermit::default();
     assert!(timeout(LONG, send_permit.invalidated()).await.is_err() && send_permit.is_valid());
 }
+
+#[tokio::test(start_paused = true)]
+async fn when_the_lease_is_shortened_then_a_permit_given_before_ends_with_it() {
+    let lease = Rc::<SendLease>::default();
+    lease.set_deadline(Some(Instant::now() + PERMIT_TIME));
+    let parts = SendPermitParts { lease: lease.clone(), ..SendPermitParts::default() };
+    let send_permit = SendPermit::new(parts);
+    assert!(send_permit.is_valid());
+    lease.set_deadline(Some(Instant::now()));
+    assert_eq!(send_permit.check(Instant::now()), Err(Denial::EndpointsExpired));
+}
+
+#[tokio::test(start_paused = true)]
+async fn when_a_byte_is_sent_too_late_then_the_check_after_it_says_why() {
+    let (now, held_up) = (Instant::now(), Duration::from_millis(151));
+    let client_gone = Rc::<CancelFlag>::default();
+    client_gone.raise();
+    let lease = Rc::<SendLease>::default();
+    lease.set_deadline(Some(now));
+    let cases = [
+        (SendPermitParts { client_gone, ..SendPermitParts::default() }, Denial::ClientGone),
+        (SendPermitParts { deadline: Some(now), ..SendPermitParts::default() }, Denial::WriteTooLate),
+        (SendPermitParts { lease, ..SendPermitParts::default() }, Denial::EndpointsExpired),
+    ];
+    for (parts, reason) in cases {
+        let send_permit = SendPermit::new(parts);
+        assert_eq!(send_permit.check(now), Err(reason));
+        assert_eq!(send_permit.check_sent(now), Ok(()), "{reason}: the limits allow for a hold");
+        assert_eq!(send_permit.check_sent(now + held_up), Err(reason));
+    }
+    let send_permit = SendPermit::default();
+    send_permit.revoke();
+    assert_eq!(send_permit.check_sent(now + held_up), Err(Denial::WorkerUnavailable));
+}
