Testbed: soak runs with random, overlapping faults, proxies and the rule of 6 s

Change: proxies between nodes, discovery and workers (cut, reset, late, in pieces), pauses by SIGSTOP, a crowded discovery; processes start with the list that their node was sent last; 'soak' draws faults from a seed; the checker counts changes as told and reads the nodes' own counts of violations. Nodes start and end side by side.

--- a/crates/core/src/permission/endpoint_lease.rs
+++ b/crates/core/src/permission/endpoint_lease.rs
@@ -8,9 +8,9 @@
 //! | time since the list was confirmed | the node |
 //! | --- | --- |
 //! | never confirmed: only the saved list is there | sends nothing: the list may be of any age |
-//! | up to `assumed_notified_after` + 0.2 s | sends by the list |
+//! | up to `assumed_notified_after` + 0.1 s | sends by the list |
 //! | from then on ([`EndpointLease::check`]) | decides on no new attempts: jobs wait in the queue |
-//! | up to `assumed_notified_after` + 0.55 s ([`EndpointLease::write_by`]) | still writes attempts decided on earlier |
+//! | up to `assumed_notified_after` + 0.4 s ([`EndpointLease::write_by`]) | still writes attempts decided on earlier |
 //!
 //! Only a confirmation by discovery renews the lease ([`EndpointLease::renew`]). A failed poll, the end of a watch, a
 //! start of the process and the passing of time confirm nothing, since discovery may have been up in between or at
@@ -21,10 +21,11 @@
 
 /// New attempts stop this long, in microseconds, after an unknown change would count as notified; the attempts
 /// decided on before are on their way by [`SEND_GRACE`].
-const DECISION_GRACE: Micros = 200_000;
+const DECISION_GRACE: Micros = 100_000;
 /// No attempt is written later than this, in microseconds, after an unknown change would count as notified. The rule
-/// is 0.75 s; a node may be held up for 0.15 s between reading its clock and writing.
-const SEND_GRACE: Micros = 550_000;
+/// is 0.75 s; a node may be held up for 0.15 s between reading its clock and writing, and what confirms the list may
+/// have been on its way for 0.2 s.
+const SEND_GRACE: Micros = 400_000;
 /// The service that discovery moved to counts as having had a change this much earlier, in microseconds.
 const MOVE_ALLOWANCE: Micros = 2_000_000;
 
--- a/crates/testbed/src/event_log.rs
+++ b/crates/testbed/src/event_log.rs
@@ -90,6 +90,17 @@
         in_service: bool,
         started_us: Micros,
     },
+    /// Discovery has a change of a worker from now on, whoever it reaches.
+    #[serde(rename = "published")]
+    EndpointPublished {
+        worker: usize,
+        in_service: bool,
+    },
+    /// Discovery went down, or came back.
+    #[serde(rename = "discovery")]
+    DiscoveryChanged {
+        is_down: bool,
+    },
     WorkerStarted {
         worker: usize,
     },
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -31,6 +31,7 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::event_log::{Event, EventLog};
+use crate::proxy::{LinkState, Proxy};
 use crate::scenario::Scenario;
 
 /// Discovery gives up a call that has waited for this.
@@ -88,6 +89,24 @@
     DiscoveryDown(bool),
 }
 
+/// The endpoint list that each node was sent last, as discovery writes it.
+type SavedLists = Arc<Mutex<Vec<Option<serde_json::Value>>>>;
+
+/// The links of the nodes through proxies, where the scenario has such faults.
+pub struct FleetLinks {
+    /// By node.
+    pub discovery: Vec<watch::Sender<LinkState>>,
+    /// By worker.
+    pub workers: Vec<watch::Sender<LinkState>>,
+}
+
+impl FleetLinks {
+    fn new(nodes: usize, workers: usize) -> Self {
+        let links = |count| (0..count).map(|_| watch::Sender::default()).collect();
+        FleetLinks { discovery: links(nodes), workers: links(workers) }
+    }
+}
+
 enum Notice {
     Arrived {
         worker: WorkerIndex,
@@ -147,7 +166,12 @@
     ports: Mutex<Vec<(u64, JoinHandle<()>)>>,
     next_port: Mutex<u64>,
     calls: Arc<tokio::sync::Mutex<()>>,
-    call_time: Duration,
+    call_time: watch::Sender<Duration>,
+    pub links: Arc<FleetLinks>,
+    saved_lists: SavedLists,
+    /// Whether nodes connect through proxies.
+    has_proxies: bool,
+    proxies: Mutex<Vec<Proxy>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -207,9 +231,15 @@
         let grown = scenario.grown_workers();
         let (queue, notices) = unbounded_channel();
         let (mut tasks, mut sockets, mut addresses) = (Vec::new(), Vec::new(), Vec::new());
+        let links = Arc::new(FleetLinks::new(scenario.nodes.count, machines.len()));
+        let mut proxies = Vec::new();
         for worker in 0..machines.len() {
             let port = Port::reserve().map_err(|e| format!("a worker's port: {e}"))?;
-            addresses.push(port.address);
+            if scenario.needs_proxies() {
+                let proxy = Proxy::start(port.address, links.workers[worker].subscribe()).await;
+                proxies.push(proxy.map_err(|e| format!("a worker's proxy: {e}"))?);
+            }
+            addresses.push(proxies.last().map_or(port.address, |proxy| proxy.address));
             let first = if grown.contains(&worker) { Sockets::Closed } else { Sockets::Open };
             let (state, seen) = watch::channel(first);
             sockets.push(state);
@@ -231,7 +261,10 @@
         for worker in grown {
             pool.handle(0, PoolInput::Kill(worker), &mut Vec::new());
         }
+        let saved_lists: SavedLists = Arc::new(Mutex::new(vec![None; scenario.nodes.count]));
         let owner = Owner {
+            links: links.clone(),
+            saved_lists: saved_lists.clone(),
             pool,
             registry,
             names,
@@ -253,11 +286,25 @@
             ports: Mutex::default(),
             next_port: Mutex::new(1),
             calls: Arc::default(),
-            call_time: Duration::from_secs_f64(scenario.fleet.discovery_call_s),
+            call_time: watch::Sender::new(Duration::from_secs_f64(scenario.fleet.discovery_call_s)),
+            links,
+            saved_lists,
+            has_proxies: scenario.needs_proxies(),
+            proxies: Mutex::new(proxies),
             tasks,
         })
     }
 
+    /// The endpoint list that a node was sent last.
+    pub fn saved_list(&self, node: usize) -> Option<serde_json::Value> {
+        self.saved_lists.lock()[node].clone()
+    }
+
+    /// Makes each call of discovery take so long.
+    pub fn set_call_time(&self, call_time: Duration) {
+        self.call_time.send_replace(call_time);
+    }
+
     pub fn order(&self, order: Order) {
         let _ = self.queue.send(Notice::Order(order));
     }
@@ -277,7 +324,7 @@
             port,
             queue: self.queue.clone(),
             calls: self.calls.clone(),
-            call_time: self.call_time,
+            call_time: self.call_time.subscribe(),
         };
         let task = tokio::spawn(async move {
             loop {
@@ -293,6 +340,19 @@
                 );
             }
         });
+        self.replace_port(node, port, task);
+        if !self.has_proxies {
+            return Ok(address);
+        }
+        let proxy = Proxy::start(address, self.links.discovery[node].subscribe()).await;
+        let proxy = proxy.map_err(|e| format!("discovery's proxy: {e}"))?;
+        let address = proxy.address;
+        self.proxies.lock().push(proxy);
+        Ok(address)
+    }
+
+    /// Puts a node's new discovery in place of an older one, which takes no new calls.
+    fn replace_port(&self, node: usize, port: u64, task: JoinHandle<()>) {
         let mut ports = self.ports.lock();
         for (old, task) in ports.iter().filter(|(port, _)| port % 1000 == node as u64) {
             task.abort();
@@ -304,7 +364,6 @@
         }
         ports.retain(|(port, _)| port % 1000 != node as u64);
         ports.push((port, task));
-        Ok(address)
     }
 }
 
@@ -316,7 +375,7 @@
     queue: UnboundedSender<Notice>,
     /// Serialises the calls of all nodes.
     calls: Arc<tokio::sync::Mutex<()>>,
-    call_time: Duration,
+    call_time: watch::Receiver<Duration>,
 }
 
 /// Answers a call of discovery.
@@ -333,6 +392,7 @@
     // One after another, for all nodes together.
     let served = async {
         let _turn = calls.lock().await;
+        let call_time = *call_time.borrow();
         sleep(call_time).await;
     };
     if timeout(CALL_WAIT, served).await.is_err() {
@@ -512,6 +572,8 @@
 
 /// The task that owns the models.
 struct Owner {
+    links: Arc<FleetLinks>,
+    saved_lists: SavedLists,
     pool: WorkerPool,
     registry: EndpointRegistry,
     names: Names,
@@ -650,6 +712,7 @@
             }
             Order::DiscoveryDown(down) => {
                 self.discovery_down = down;
+                self.log.record(Event::DiscoveryChanged { is_down: down });
                 if down {
                     self.watches.clear();
                 }
@@ -658,6 +721,15 @@
     }
 
     fn told(&self, node: usize, entries: &[EndpointEntry]) {
+        if self.links.discovery[node].borrow().is_cut {
+            // What is written now is lost on its way.
+            return;
+        }
+        let endpoints: Vec<_> = self.registry.snapshot().iter().map(|entry| self.names.line(entry)).collect();
+        let list = serde_json::json!({
+            "index": self.registry.index(), "snapshot": true, "endpoints": endpoints,
+        });
+        self.saved_lists.lock()[node] = Some(list);
         for entry in entries {
             let in_service = entry.status == EndpointStatus::InService;
             let started_us = entry.started_at.unwrap_or(0);
@@ -670,6 +742,10 @@
         if entries.is_empty() {
             return;
         }
+        for entry in &entries {
+            let in_service = entry.status == EndpointStatus::InService;
+            self.log.record(Event::EndpointPublished { worker: entry.worker, in_service });
+        }
         let message = self.names.message(index, false, &entries);
         let mut watches = std::mem::take(&mut self.watches);
         watches.retain(|(node, _, lines)| {
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -11,10 +11,12 @@
 mod nodes;
 mod operator_actions;
 mod play;
+mod proxy;
 mod report;
 mod rules;
 mod scenario;
 mod scripted;
+mod soak;
 mod stress_run;
 mod upgrade;
 
@@ -113,6 +115,33 @@
         #[arg(long)]
         quiet: bool,
     },
+    /// Play a fleet under faults that are drawn from a seed and overlap, one seed after another, and print a table
+    Soak {
+        /// The first seed
+        #[arg(long, default_value_t = 1)]
+        first: u64,
+        /// How many seeds
+        #[arg(long, default_value_t = 10)]
+        seeds: u64,
+        /// Nodes, each a process
+        #[arg(long, default_value_t = 24, value_parser = clap::value_parser!(u64).range(1..=64))]
+        nodes: u64,
+        /// Workers
+        #[arg(long, default_value_t = 24, value_parser = clap::value_parser!(u64).range(3..=1000))]
+        workers: u64,
+        /// How long jobs arrive, seconds
+        #[arg(long, default_value_t = 30.0, value_name = "SECONDS")]
+        length: f64,
+        /// Faults in each run
+        #[arg(long, default_value_t = 14)]
+        faults: usize,
+        /// The node's program; else the one beside this program
+        #[arg(long, value_name = "FILE")]
+        node: Option<PathBuf>,
+        /// Where the reports, what was seen and the nodes' logs go, a folder for each seed
+        #[arg(long, default_value = "found/soak", value_name = "FOLDER")]
+        out: PathBuf,
+    },
     /// Read a scenario and say whether it is good
     Check {
         /// The scenario's file
@@ -126,6 +155,10 @@
     },
 }
 
+/// Bounds of the length of a soak run, in seconds.
+const MIN_SOAK_S: f64 = 8.0;
+const MAX_SOAK_S: f64 = 3_600.0;
+
 fn main() -> ExitCode {
     match command(CommandLine::parse().command) {
         Ok(code) => ExitCode::from(code),
@@ -163,6 +196,25 @@
                 ran.code
             })
         }
+        Command::Soak { first, seeds, nodes, workers, length, faults, node, out } => {
+            if !(MIN_SOAK_S..=MAX_SOAK_S).contains(&length) {
+                return Err(format!("--length: {length} is not from {MIN_SOAK_S} to {MAX_SOAK_S}"));
+            }
+            let path = program(node)?;
+            print!("{}", soak::table_head());
+            let mut worst = 0;
+            for seed in first..first + seeds {
+                let (nodes, workers) = (nodes as usize, workers as usize);
+                let scenario = soak::Soak { seed, nodes, workers, length_s: length, faults }.scenario();
+                let folder = out.join(seed.to_string());
+                let program = Program { path: path.clone(), arguments: Vec::new(), folder };
+                let ran = runtime(1)?.block_on(run(scenario.clone(), program, None, false))?;
+                let crashes = &ran.played.crashes;
+                print!("{}", soak::table_row(&scenario, &ran.figures, &ran.violations, crashes));
+                worst = worst.max(if ran.code == 1 { 1 } else { 0 });
+            }
+            Ok(worst)
+        }
         Command::Compare { scenario, a, b, operator_a, operator_b, seeds, out } => {
             let scenario = read(&scenario)?;
             let (a, b) = (program(a)?, program(b)?);
--- a/crates/testbed/src/nodes.rs
+++ b/crates/testbed/src/nodes.rs
@@ -50,6 +50,8 @@
     pub discovery: SocketAddr,
     /// Its second address, where the scenario needs one.
     pub console: Option<SocketAddr>,
+    /// The endpoint list that the process starts with.
+    pub known: Option<serde_json::Value>,
     /// The node's own folder for what lasts a short time; both processes of a node share it.
     pub temporary: PathBuf,
 }
@@ -88,7 +90,7 @@
 
 /// The platform's file for a node.
 pub fn config(scenario: &Scenario, place: &Place) -> String {
-    let Place { number, listen, discovery, console, .. } = place;
+    let Place { number, listen, discovery, console, known, .. } = place;
     let services: Vec<_> = scenario
         .classes
         .iter()
@@ -108,7 +110,7 @@
         "name": format!("n{number}"), "listen": listen, "discovery": discovery,
         "seed": format!("{:016x}", scenario.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ *number as u64),
         "limits": {"cores": 1.0, "memory_mb": MEMORY_MB as u64, "sockets": scenario.nodes.descriptors},
-        "known": {"index": 0, "snapshot": true, "endpoints": []},
+        "known": known.clone().unwrap_or_else(|| json!({"index": 0, "snapshot": true, "endpoints": []})),
         "settings": {
             "balancers": scenario.nodes.count, "rank": number, "zone": 0, "discovery": "subscribe",
             "localities": ["lab"], "kinds": kinds, "services": services,
@@ -264,6 +266,22 @@
     timeout(Duration::from_secs(1), ask).await.ok().flatten()
 }
 
+/// The series of violations that a node has counted itself, where one is not zero.
+pub async fn counted_violations(address: SocketAddr) -> Vec<String> {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let ask = async {
+        let mut stream = tokio::net::TcpStream::connect(address).await.ok()?;
+        stream.write_all(b"GET /metrics HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n").await.ok()?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.ok()?;
+        Some(text)
+    };
+    let text = timeout(Duration::from_secs(2), ask).await.ok().flatten().unwrap_or_default();
+    let is_violation =
+        |line: &&str| line.starts_with("curlewusher_violations_total{") && !line.ends_with(" 0");
+    text.lines().filter(is_violation).map(str::to_owned).collect()
+}
+
 /// What a process has cost, as the system tells it; none once it is gone.
 pub fn cost(process: u32, node: usize, at_s: f64) -> Option<Sample> {
     let read = |what: &str| std::fs::read_to_string(format!("/proc/{process}/{what}")).ok();
--- a/crates/testbed/src/play.rs
+++ b/crates/testbed/src/play.rs
@@ -20,8 +20,9 @@
 use crate::event_log::{Event, EventLog, Record};
 use crate::fleet::{Fleet, NodePlaces, Order, Tries};
 use crate::load::{Clients, Front};
-use crate::nodes::{Node, NodeError, Place, Program, Sample, asked, cost};
+use crate::nodes::{Node, NodeError, Place, Program, Sample, asked, cost, counted_violations};
 use crate::operator_actions::join_all;
+use crate::proxy::LinkState;
 use crate::scenario::{Fault, FaultKind, Scenario};
 use crate::stress_run::StressRun;
 use crate::upgrade::UpgradePlan;
@@ -35,6 +36,8 @@
 /// A drained worker has left after this.
 const WORKER_DRAINS: Duration = Duration::from_secs(5);
 const SAMPLES: Duration = Duration::from_millis(500);
+/// What is sent over a slow link arrives so much later.
+const ANSWER_DELAY: Duration = Duration::from_millis(150);
 
 /// What a run left.
 pub struct Played {
@@ -120,15 +123,7 @@
         crashes: parking_lot::Mutex::default(),
         temporary,
     });
-    let starts = async {
-        for node in 0..scenario.nodes.count {
-            environment
-                .start_node(node, SocketAddr::from(([127, 0, 0, 1], 0)))
-                .await
-                .map_err(|e| e.to_string())?;
-        }
-        Ok::<(), String>(())
-    };
+    let starts = environment.start_all_nodes();
     tokio::select! {
         started = starts => started?,
         // What has started ends with its handle.
@@ -197,7 +192,8 @@
         // Both processes of an upgrade are told the same address, so that it cannot be left to the system.
         let listen = if self.consoles && listen.port() == 0 { free_place() } else { listen };
         let temporary = self.temporary.join(format!("n{number}"));
-        let place = Place { number, version: 0, listen, discovery, console, temporary };
+        let known = self.fleet.saved_list(number).filter(|_| self.scenario.nodes.saved_lists);
+        let place = Place { number, version: 0, listen, discovery, console, known, temporary };
         let node = Node::start(&self.program, &self.scenario, place).await?;
         self.places.lock()[number] = Some(node.address);
         *self.nodes[number].lock().await = Held { node: Some(node), console, processes: Vec::new() };
@@ -210,6 +206,20 @@
         self.crashes.lock().push(words.to_string());
     }
 
+    /// Starts all nodes at once, and returns when each is ready.
+    async fn start_all_nodes(self: &Arc<Self>) -> Result<(), String> {
+        let mut starts = JoinSet::new();
+        for node in 0..self.scenario.nodes.count {
+            let environment = self.clone();
+            let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+            starts.spawn(async move { environment.start_node(node, listen).await });
+        }
+        while let Some(started) = starts.join_next().await {
+            started.map_err(|e| e.to_string())?.map_err(|e| e.to_string())?;
+        }
+        Ok(())
+    }
+
     async fn sample(&self, into: Arc<parking_lot::Mutex<Vec<Sample>>>) {
         // Processor time of all processes that a node ever had.
         let mut spent: Vec<HashMap<u32, f64>> = vec![HashMap::new(); self.nodes.len()];
@@ -320,6 +330,27 @@
                     }
                 }
             }
+            FaultKind::NodePause => {
+                self.signal_nodes(&targets, Signal::STOP).await;
+                ends.await;
+                self.signal_nodes(&targets, Signal::CONT).await;
+            }
+            FaultKind::DiscoverySlow => {
+                let usual = Duration::from_secs_f64(self.scenario.fleet.discovery_call_s);
+                self.fleet.set_call_time(usual.mul_f64(fault.factor.unwrap_or(1.0)));
+                ends.await;
+                self.fleet.set_call_time(usual);
+            }
+            FaultKind::DiscoveryLinkCut
+            | FaultKind::DiscoveryLinkReset
+            | FaultKind::DiscoveryLinkSlow
+            | FaultKind::WorkerLinkCut
+            | FaultKind::WorkerLinkReset
+            | FaultKind::WorkerLinkSlow => {
+                self.change_links(fault.kind, &targets, true);
+                ends.await;
+                self.change_links(fault.kind, &targets, false);
+            }
             FaultKind::NodeDrain => {
                 join_all(targets.iter().map(|node| self.drain_node(*node, until))).await;
             }
@@ -337,6 +368,35 @@
         self.log.record(Event::Fault { description: words("ends") });
     }
 
+    async fn signal_nodes(&self, nodes: &[usize], signal: Signal) {
+        for number in nodes {
+            if let Some(node) = &self.nodes[*number].lock().await.node {
+                node.signal(signal);
+            }
+        }
+    }
+
+    /// Begins a fault of links, or ends it.
+    fn change_links(&self, kind: FaultKind, targets: &[usize], begins: bool) {
+        let links = match kind {
+            FaultKind::WorkerLinkCut | FaultKind::WorkerLinkReset | FaultKind::WorkerLinkSlow => {
+                &self.fleet.links.workers
+            }
+            _ => &self.fleet.links.discovery,
+        };
+        let change = |link: &mut LinkState| match (kind, begins) {
+            (FaultKind::DiscoveryLinkCut | FaultKind::WorkerLinkCut, true) => link.is_cut = true,
+            (FaultKind::DiscoveryLinkCut | FaultKind::WorkerLinkCut, false) => link.heal(),
+            (FaultKind::DiscoveryLinkReset | FaultKind::WorkerLinkReset, true) => link.resets += 1,
+            (FaultKind::DiscoveryLinkSlow | FaultKind::WorkerLinkSlow, begins) => {
+                link.in_pieces = begins;
+                link.answer_delay = if begins { ANSWER_DELAY } else { Duration::ZERO };
+            }
+            _ => {}
+        };
+        targets.iter().for_each(|target| links[*target].send_modify(change));
+    }
+
     /// Ends a node; the front hears of it in its own time.
     async fn end_node(&self, mut node: Node, kill: bool, heard: bool) {
         let number = node.place.number;
@@ -382,12 +442,17 @@
 
     /// Ends all nodes, and looks whether each that should be there still serves.
     async fn end(&self, interrupted: bool) {
-        for (number, held) in self.nodes.iter().enumerate() {
-            let Some(node) = held.lock().await.node.take() else { continue };
-            if !interrupted && asked(node.address).await != Some(true) {
-                self.crashed(format!("node {number} is not ready at the end of the load"));
-            }
-            let _ = timeout(Duration::from_secs(40), self.end_node(node, interrupted, false)).await;
+        join_all((0..self.nodes.len()).map(|number| self.end_checked(number, interrupted))).await;
+    }
+
+    async fn end_checked(&self, number: usize, interrupted: bool) {
+        let Some(node) = self.nodes[number].lock().await.node.take() else { return };
+        if !interrupted && asked(node.address).await != Some(true) {
+            self.crashed(format!("node {number} is not ready at the end of the load"));
+        }
+        for violation in counted_violations(node.address).await {
+            self.crashed(format!("node {number} has counted a violation: {violation}"));
         }
+        let _ = timeout(Duration::from_secs(40), self.end_node(node, interrupted, false)).await;
     }
 }
--- a/crates/testbed/src/rules/job_rules.rs
+++ b/crates/testbed/src/rules/job_rules.rs
@@ -87,6 +87,9 @@
     request_by_attempt: HashMap<u64, &'log str>,
     /// By node and worker.
     endpoints: HashMap<(usize, usize), KnownEndpoint>,
+    /// By worker that drains or has ended: when discovery had that and was up. None: it has not been up since.
+    published: HashMap<usize, Option<Micros>>,
+    is_discovery_down: bool,
     /// By worker.
     arrivals: HashMap<usize, Vec<Arrival>>,
     worker_starts: HashMap<usize, Micros>,
@@ -124,6 +127,8 @@
             requests: HashMap::new(),
             request_by_attempt: HashMap::new(),
             endpoints: HashMap::new(),
+            published: HashMap::new(),
+            is_discovery_down: false,
             arrivals: HashMap::new(),
             worker_starts: HashMap::new(),
             exits: HashMap::new(),
@@ -158,6 +163,17 @@
                 let known = KnownEndpoint { unavailable_since, started_at: *started_us };
                 self.endpoints.insert((*node, *worker), known);
             }
+            Event::EndpointPublished { worker, in_service: true } => _ = self.published.remove(worker),
+            Event::EndpointPublished { worker, in_service: false } => {
+                let since = (!self.is_discovery_down).then_some(at);
+                self.published.entry(*worker).or_insert(since);
+            }
+            Event::DiscoveryChanged { is_down } => {
+                self.is_discovery_down = *is_down;
+                if !is_down {
+                    self.published.values_mut().for_each(|since| _ = since.get_or_insert(at));
+                }
+            }
             Event::WorkerStarted { worker } => _ = self.worker_starts.insert(*worker, at),
             Event::WorkerOverloaded { worker } => self.check_gentle_start(at, *worker),
             Event::NodeExited { node, killed } => {
@@ -268,14 +284,17 @@
     fn check_quiet_drain(&mut self, at: Micros, arrived: &ArrivedAttempt<'log>) {
         let ArrivedAttempt { request: id, node, worker, head_at, .. } = *arrived;
         let known = self.endpoints.get(&(node, worker));
-        let Some(told_at) = known.and_then(|known| known.unavailable_since) else { return };
-        let binding_since = self.binding_since(node, told_at);
+        let told_at = known.and_then(|known| known.unavailable_since);
+        let told_since = told_at.map(|told_at| self.binding_since(node, told_at));
+        let notified_since = self.published.get(&worker).copied().flatten();
+        let notified_since = notified_since.map(|since| since + self.parameters.notified_within);
+        let Some(binding_since) = told_since.into_iter().chain(notified_since).min() else { return };
         if head_at <= binding_since + self.parameters.stop_within + self.parameters.slack {
             return;
         }
         let after = (head_at - binding_since) / 1000;
         let description = format!(
-            "node {node} sent {id} to worker {worker} {after} ms after it was told of its drain or end"
+            "node {node} sent {id} to worker {worker} {after} ms after it was told of its drain or end, or counted as told"
         );
         self.report(Rule::QuietDrain, at, Some(id), description);
     }
@@ -309,7 +328,7 @@
             let description = format!("{id} was served with something that no worker made for it");
             self.report(Rule::OneAnswer, at, Some(id), description);
         }
-        if at > deadline + self.parameters.slack {
+        if at > deadline + self.parameters.answer_slack {
             let late = (at - deadline) / 1000;
             let description = format!("{id} was answered {late} ms after its time");
             self.report(Rule::OneAnswer, at, Some(id), description);
--- a/crates/testbed/src/rules/mod.rs
+++ b/crates/testbed/src/rules/mod.rs
@@ -40,6 +40,10 @@
     pub classes: Vec<RepeatPolicy>,
     /// Tolerance that is added to each time limit.
     pub slack: Micros,
+    /// A response may come this much later than the client's timeout; it earns nothing then.
+    pub answer_slack: Micros,
+    /// A change counts as sent to all nodes this long after discovery had it and was up, whether it arrived or not.
+    pub notified_within: Micros,
     /// A node must send nothing to a worker from this long after it learned that the worker drains or has ended.
     pub stop_within: Micros,
     /// A request that was sent later than this after SIGTERM may be lost.
--- a/crates/testbed/src/scenario/conversion.rs
+++ b/crates/testbed/src/scenario/conversion.rs
@@ -9,6 +9,9 @@
 
 // The rules' own figures; a scenario does not change them.
 const SLACK: Micros = 50_000;
+/// The same for answers while links are impaired: the answer of a worker may be held up on its way.
+const IMPAIRED_ANSWER_SLACK: Micros = 500_000;
+const NOTIFIED_WITHIN: Micros = 6_000_000;
 const STOP_WITHIN: Micros = 750_000;
 const DRAIN_GRACE: Micros = 700_000;
 const SUCCESSOR_GRACE: Micros = 2_000_000;
@@ -94,6 +97,8 @@
         RuleParameters {
             classes: self.classes.iter().map(|class| class.idempotence.into()).collect(),
             slack: SLACK,
+            answer_slack: if self.needs_proxies() { IMPAIRED_ANSWER_SLACK } else { SLACK },
+            notified_within: NOTIFIED_WITHIN,
             stop_within: STOP_WITHIN,
             drain_grace: DRAIN_GRACE,
             fall_window: OVERLOAD_WINDOW,
--- a/crates/testbed/src/scenario/error.rs
+++ b/crates/testbed/src/scenario/error.rs
@@ -34,11 +34,11 @@
     DuplicateClassName,
     #[error("{target} is none of the {count} {targets}, which count from 0")]
     UnknownTarget { target: usize, count: usize, targets: &'static str },
-    #[error("a fault of kind slow needs it")]
+    #[error("a fault of kind slow or discovery_slow needs it")]
     MissingFactor,
-    #[error("it is for kind slow only")]
+    #[error("it is for kinds slow and discovery_slow only")]
     UnexpectedFactor,
-    #[error("this kind needs it: an operator calls back what was called out")]
+    #[error("this kind needs it: what was begun has to be ended again")]
     MissingDuration,
     #[error("it is for kinds upgrade and kill_in_upgrade only")]
     UnexpectedDelay,
--- a/crates/testbed/src/scenario/fault.rs
+++ b/crates/testbed/src/scenario/fault.rs
@@ -89,6 +89,22 @@
     Upgrade,
     /// The same, and one of both processes is killed at a drawn moment.
     KillInUpgrade,
+    /// A node's process is stopped by a signal, and goes on after `for_s`.
+    NodePause,
+    /// Discovery takes longer for each call, by `factor`, so that calls wait for each other and are dropped.
+    DiscoverySlow,
+    /// Nothing passes between a node and discovery, in silence; at the end open connections are reset.
+    DiscoveryLinkCut,
+    /// All connections of a node to discovery are reset, once.
+    DiscoveryLinkReset,
+    /// What discovery sends to a node arrives late and in small pieces.
+    DiscoveryLinkSlow,
+    /// Nothing passes between the nodes and a worker, in silence; at the end open connections are reset.
+    WorkerLinkCut,
+    /// All connections of the nodes to a worker are reset, once.
+    WorkerLinkReset,
+    /// What a worker sends arrives late and in small pieces, and so does what is sent to it, in time.
+    WorkerLinkSlow,
 }
 
 impl FaultKind {
@@ -100,17 +116,38 @@
             | FaultKind::NodeKill
             | FaultKind::NodeDrain
             | FaultKind::Upgrade
-            | FaultKind::KillInUpgrade => true,
+            | FaultKind::KillInUpgrade
+            | FaultKind::NodePause
+            | FaultKind::DiscoveryLinkCut
+            | FaultKind::DiscoveryLinkReset
+            | FaultKind::DiscoveryLinkSlow => true,
             FaultKind::Kill
             | FaultKind::Silent
             | FaultKind::Slow
             | FaultKind::Drain
             | FaultKind::Grow
             | FaultKind::DiscoveryDown
+            | FaultKind::DiscoverySlow
+            | FaultKind::WorkerLinkCut
+            | FaultKind::WorkerLinkReset
+            | FaultKind::WorkerLinkSlow
             | FaultKind::Maintenance => false,
         }
     }
 
+    /// Whether it is done by the proxies between the nodes and what they connect to.
+    pub fn needs_proxies(self) -> bool {
+        matches!(
+            self,
+            FaultKind::DiscoveryLinkCut
+                | FaultKind::DiscoveryLinkReset
+                | FaultKind::DiscoveryLinkSlow
+                | FaultKind::WorkerLinkCut
+                | FaultKind::WorkerLinkReset
+                | FaultKind::WorkerLinkSlow
+        )
+    }
+
     pub fn is_upgrade(self) -> bool {
         matches!(self, FaultKind::Upgrade | FaultKind::KillInUpgrade)
     }
--- a/crates/testbed/src/scenario/mod.rs
+++ b/crates/testbed/src/scenario/mod.rs
@@ -48,6 +48,9 @@
     /// The operator's file for all of them.
     #[serde(default)]
     pub operator: Option<PathBuf>,
+    /// A process starts with the endpoint list that its node was sent last, in place of none.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub saved_lists: bool,
 }
 
 impl Nodes {
@@ -243,6 +246,11 @@
         self.faults.iter().any(|fault| fault.kind.needs_admin_address())
     }
 
+    /// Whether the nodes connect to discovery and to workers through proxies.
+    pub fn needs_proxies(&self) -> bool {
+        self.faults.iter().any(|fault| fault.kind.needs_proxies())
+    }
+
     /// The workers or nodes that a fault is for.
     pub fn targets_of(&self, fault: &Fault) -> Vec<usize> {
         let all = if fault.kind.targets_nodes() { self.nodes.count } else { self.fleet.workers };
--- a/crates/testbed/src/scenario/validation.rs
+++ b/crates/testbed/src/scenario/validation.rs
@@ -165,7 +165,8 @@
         if let Some(problem) = factor_problem(fault) {
             return invalid("factor", problem);
         }
-        let is_called_back = matches!(fault.kind, FaultKind::NodeDrain | FaultKind::Maintenance);
+        let is_called_back =
+            matches!(fault.kind, FaultKind::NodeDrain | FaultKind::Maintenance | FaultKind::NodePause);
         if is_called_back && fault.for_s.is_none() {
             return invalid("for_s", Problem::MissingDuration);
         }
@@ -178,7 +179,8 @@
         if let Some(other) = self.overlapping_upgrade(index, fault) {
             return invalid("at_s", Problem::OverlappingUpgrade { free_at_s: upgrade_end_s(other) });
         }
-        let may_target_all = matches!(fault.kind, FaultKind::DiscoveryDown | FaultKind::Reload);
+        let may_target_all =
+            matches!(fault.kind, FaultKind::DiscoveryDown | FaultKind::DiscoverySlow | FaultKind::Reload);
         let has_share = fault.share.is_some() && fault.kind != FaultKind::Grow;
         if !may_target_all && fault.targets.is_empty() && !has_share {
             return invalid("of", Problem::MissingTargets { kind: fault.kind });
@@ -222,8 +224,8 @@
 
 fn factor_problem(fault: &Fault) -> Option<Problem> {
     match (fault.kind, fault.factor) {
-        (FaultKind::Slow, None) => Some(Problem::MissingFactor),
-        (FaultKind::Slow, Some(_)) | (_, None) => None,
+        (FaultKind::Slow | FaultKind::DiscoverySlow, None) => Some(Problem::MissingFactor),
+        (FaultKind::Slow | FaultKind::DiscoverySlow, Some(_)) | (_, None) => None,
         (_, Some(_)) => Some(Problem::UnexpectedFactor),
     }
 }
--- a/crates/testbed/src/upgrade.rs
+++ b/crates/testbed/src/upgrade.rs
@@ -163,6 +163,7 @@
         self.log.record(Event::UpgradeBegan { node });
         let address = predecessor.address;
         let place = Place {
+            known: None,
             version: predecessor.place.version + 1,
             listen: address,
             console: Some(free_place()),
--- a/crates/testbed/tests/unit/job_rules.rs
+++ b/crates/testbed/tests/unit/job_rules.rs
@@ -11,6 +11,8 @@
         RepeatPolicy::NonIdempotent,
     ];
     RuleParameters {
+        answer_slack: 50_000,
+        notified_within: 6_000_000,
         classes,
         slack: 50_000,
         stop_within: 750_000,
