--- a/crates/core/src/permission/answering.rs
+++ b/crates/core/src/permission/answering.rs
@@ -35,6 +35,15 @@
         self.close_job(job, actions);
     }
 
+    /// Rejects a job that no worker has seen, for its client to try another node at once.
+    pub(crate) fn redirect(&mut self, job: &mut Job, actions: &mut Vec<Action>) {
+        match self.may_reject(job) {
+            Ok(()) => actions.push(Action::Reject { job: job.id, retry_after: 0 }),
+            Err(_) => actions.push(Action::Fail { job: job.id }),
+        }
+        self.close_job(job, actions);
+    }
+
     /// Marks a job as answered and cancels what is still in flight for it.
     pub(crate) fn close_job(&self, job: &mut Job, actions: &mut Vec<Action>) {
         job.is_answered = true;
--- a/crates/core/src/permission/endpoint_lease.rs
+++ b/crates/core/src/permission/endpoint_lease.rs
@@ -26,6 +26,11 @@
 /// is 0.75 s; a node may be held up for 0.15 s between reading its clock and writing, and what confirms the list may
 /// have been on its way for 0.2 s.
 const SEND_GRACE: Micros = 400_000;
+/// How long a process without any confirmation holds jobs before others do better without it: it says that it is ready
+/// after 5 s.
+const MAX_HOLD_BEFORE_CONFIRMATION: Micros = 7_000_000;
+/// The same once the lease has expired. A hold of less is worth waiting for.
+const MAX_HOLD_AFTER_EXPIRY: Micros = 2_000_000;
 /// The service that discovery moved to counts as having had a change this much earlier, in microseconds.
 const MOVE_ALLOWANCE: Micros = 2_000_000;
 
@@ -37,12 +42,23 @@
     /// No change that this node does not know was available to it before this moment. None before the first
     /// confirmation.
     confirmed_at: Option<Micros>,
+    /// The moment of the first event.
+    started_at: Option<Micros>,
 }
 
 impl EndpointLease {
     pub(crate) fn new(settings: &Settings) -> Self {
         let limit = settings.assumed_notified_after;
-        EndpointLease { assumed_notified_after: (limit > 0).then_some(limit), confirmed_at: None }
+        EndpointLease {
+            assumed_notified_after: (limit > 0).then_some(limit),
+            confirmed_at: None,
+            started_at: None,
+        }
+    }
+
+    /// The process runs; no effect after the first event. It says nothing of the list.
+    pub(crate) fn record_start(&mut self, now: Micros) {
+        self.started_at.get_or_insert(now);
     }
 
     /// Discovery has confirmed that the list was current at this moment. Nothing else renews the lease.
@@ -73,6 +89,16 @@
         Some(self.confirmed_at.map_or(0, |at| at + limit + SEND_GRACE))
     }
 
+    /// Whether jobs have been held for so long that clients are better off at other nodes, which may have been confirmed.
+    pub(crate) fn is_hold_long(&self, now: Micros) -> bool {
+        let Some(limit) = self.assumed_notified_after else { return false };
+        let long_at = match self.confirmed_at {
+            Some(at) => at + limit + DECISION_GRACE + MAX_HOLD_AFTER_EXPIRY,
+            None => self.started_at.unwrap_or(now) + MAX_HOLD_BEFORE_CONFIRMATION,
+        };
+        now >= long_at
+    }
+
     fn limit_to(&mut self, latest: Micros) {
         self.confirmed_at = self.confirmed_at.map(|at| at.min(latest));
     }
--- a/crates/core/src/policy/admission.rs
+++ b/crates/core/src/policy/admission.rs
@@ -21,6 +21,11 @@
             // Probably a client's last retry: its time would be up before the next sweep.
             return self.reject_or_fail(&mut job, actions);
         }
+        if job.is_first_submission && self.poll_schedule.is_hold_long(now) {
+            // This node alone may be cut off from discovery: the client is sent elsewhere once. Its retry is held, since
+            // all nodes may be in the same state.
+            return self.redirect(&mut job, actions);
+        }
         self.budgets.earn(&job, self.fleet.prompt_start_share);
         self.demand.record_submitted(now, &job);
         self.fleet.record_key(job.key);
--- a/crates/core/src/poll_schedule.rs
+++ b/crates/core/src/poll_schedule.rs
@@ -23,8 +23,9 @@
 const INITIAL_BACKOFF: Micros = 400_000;
 /// Maximum number of doublings of [`INITIAL_BACKOFF`].
 const MAX_BACKOFF_DOUBLINGS: u32 = 3;
-/// Maximum backoff, unless discovery needs longer for the polls of all nodes.
-const MAX_BACKOFF: Micros = 3_000_000;
+/// Maximum backoff, unless discovery needs longer for the polls of all nodes. A poll that hangs takes about 2 s; the
+/// next one follows at once, since jobs wait for it.
+const MAX_BACKOFF: Micros = 2_200_000;
 
 /// Time that discovery is assumed to spend on a poll while none has been answered.
 const DEFAULT_POLL_COST: Micros = 70_000;
@@ -88,6 +89,7 @@
 
     /// Returns whether a poll is due, and records it as begun. The first call schedules the first poll.
     pub(crate) fn start_due_poll(&mut self, now: Micros, rng: &mut fastrand::Rng) -> bool {
+        self.lease.record_start(now);
         if self.next_poll_at == Some(NOT_STARTED) {
             self.schedule_first_poll(now, rng);
             return false;
@@ -147,6 +149,11 @@
         self.lease.check(now)
     }
 
+    /// Whether jobs have been held for the list for so long that clients are better off at other nodes.
+    pub(crate) fn is_hold_long(&self, now: Micros) -> bool {
+        self.lease.is_hold_long(now)
+    }
+
     /// The moment before which an attempt decided on by the present endpoint list must be written.
     pub(crate) fn write_by(&self) -> Option<Micros> {
         self.lease.write_by()
--- a/crates/core/tests/decisions/endpoint_lease.rs
+++ b/crates/core/tests/decisions/endpoint_lease.rs
@@ -103,3 +103,47 @@
         assert_eq!(sends, [], "{nodes} nodes");
     }
 }
+
+#[test]
+fn confirmation_is_handled_late_then_the_lease_counts_from_when_it_was_read() {
+    let mut node = starting_process(3);
+    let read_at = node.now;
+    node.advance(4 * SECOND);
+    node.handle(Event::EndpointsConfirmed { as_of: read_at });
+    assert_eq!(node.dispatcher.endpoints_write_by(), Some(read_at + NOTIFIED_WITHIN + 400_000));
+    // An earlier one that comes last takes nothing back, and one of the future counts as one of now.
+    node.handle(Event::EndpointsConfirmed { as_of: read_at - SECOND });
+    assert!(node.dispatcher.check_endpoint_lease(node.now).is_ok());
+    node.handle(Event::EndpointsConfirmed { as_of: node.now + SECOND });
+    assert_eq!(node.dispatcher.endpoints_write_by(), Some(node.now + NOTIFIED_WITHIN + 400_000));
+}
+
+#[test]
+fn list_cannot_be_read_or_discovery_moves_then_the_lease_is_shortened_and_not_renewed() {
+    for (event, left) in [(Event::EndpointsUnreadable, 0), (Event::DiscoveryMoved, 4 * SECOND)] {
+        let mut node = watching_node(3);
+        node.handle(event.clone());
+        assert_eq!(node.dispatcher.endpoints_write_by(), Some(node.now + left + 400_000), "{event:?}");
+        node.advance(left + 100_000);
+        assert_eq!(node.place(1, 0, 0.1), None, "{event:?}: it waits");
+        let as_of = node.now;
+        node.handle(Event::EndpointsConfirmed { as_of });
+        assert_eq!(count_sends(&node.advance(20_000)), 1, "{event:?}: it is sent");
+        assert_eq!(node.dispatcher.violations().total(), 0);
+    }
+}
+
+#[test]
+fn jobs_are_held_for_long_then_new_clients_are_sent_elsewhere_and_retries_are_held() {
+    let mut node = watching_node(3);
+    node.advance(NOTIFIED_WITHIN + SECOND);
+    assert_eq!(node.submit(1, 2, 0.1).len(), 0, "it is worth waiting for");
+    node.advance(2 * SECOND);
+    assert!(has_rejection(&node.submit(2, 2, 0.1)), "another node may have an answer");
+    let retry = JobSubmission { is_retry: true, ..submission(3, 2, 0.1, node.now) };
+    assert!(!has_rejection(&node.submit_job(retry)), "none may have one");
+    let as_of = node.now;
+    node.handle(Event::EndpointsConfirmed { as_of });
+    assert_eq!(count_sends(&node.advance(20_000)), 1);
+    assert!(!has_rejection(&node.submit(4, 2, 0.1)));
+}
--- a/crates/node/tests/endpoint_lease/mod.rs
+++ b/crates/node/tests/endpoint_lease/mod.rs
@@ -35,3 +35,19 @@
     assert_eq!(read_response(client).status(), 200);
     assert!(!left.has_pending_request(), "an attempt reaches the worker that has left");
 }
+
+/// A change that cannot follow the list that is known leaves a hole: jobs wait until the whole list has come.
+#[test]
+fn change_is_older_than_the_list_then_jobs_wait_for_the_whole_list() {
+    let (worker, node, watch, discovery) = Node::start_with_worker();
+    wait_for_counter(&node, "curlewusher_transport_map_changes_total", 2);
+    watch.send_line(&endpoint_list_json(40, false, &[worker.endpoint_json("s-1", "in_service")]));
+    node.wait_for_log_line("version 40 after version 42");
+    let client = node.submit_job("r1", "view", 9.0);
+    let again = ScriptedWatch::open(&discovery);
+    assert_eq!(again.since(), "0");
+    assert!(!worker.has_pending_request(), "it is sent by a list with a hole");
+    again.send_line(&endpoint_list_json(43, true, &[worker.endpoint_json("s-1", "in_service")]));
+    node.serve_job(client, &worker.next_request(), "r1", "s-1");
+    assert_eq!(node.counter(r#"curlewusher_violations_total{reason="endpoints_expired"}"#), 0);
+}
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -85,6 +85,8 @@
     Start(WorkerIndex),
     Slow(WorkerIndex, f64),
     Drain(WorkerIndex),
+    /// Lists a worker as draining, or as in service again, and does nothing to it.
+    List(WorkerIndex, EndpointStatus),
     Silent(WorkerIndex, bool),
     DiscoveryDown(bool),
 }
@@ -706,6 +708,7 @@
                 self.drive(PoolInput::Drain(worker));
                 change(&mut self.registry, worker, EndpointStatus::Terminating, None);
             }
+            Order::List(worker, status) => change(&mut self.registry, worker, status, None),
             Order::Silent(worker, silent) => {
                 self.silent[worker] = silent;
                 self.sockets[worker].send_replace(if silent { Sockets::Silent } else { Sockets::Open });
@@ -721,7 +724,8 @@
     }
 
     fn told(&self, node: usize, entries: &[EndpointEntry]) {
-        if self.links.discovery[node].borrow().is_cut {
+        let link = *self.links.discovery[node].borrow();
+        if link.is_cut || link.is_refusing {
             // What is written now is lost on its way.
             return;
         }
--- a/crates/testbed/src/play.rs
+++ b/crates/testbed/src/play.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use curlewusher_model::endpoint_registry::EndpointStatus;
 use curlewusher_model::span;
 use indicatif::{ProgressBar, ProgressStyle};
 use rustix::process::Signal;
@@ -298,6 +299,11 @@
                 ends.await;
                 order(Order::Start);
             }
+            FaultKind::AnnouncedDrain => {
+                order(|worker| Order::List(worker, EndpointStatus::Terminating));
+                ends.await;
+                order(|worker| Order::List(worker, EndpointStatus::InService));
+            }
             FaultKind::Grow => order(Order::Start),
             FaultKind::DiscoveryDown => {
                 self.fleet.order(Order::DiscoveryDown(true));
@@ -342,6 +348,7 @@
                 self.fleet.set_call_time(usual);
             }
             FaultKind::DiscoveryLinkCut
+            | FaultKind::DiscoveryLinkRefused
             | FaultKind::DiscoveryLinkReset
             | FaultKind::DiscoveryLinkSlow
             | FaultKind::WorkerLinkCut
@@ -387,6 +394,8 @@
         let change = |link: &mut LinkState| match (kind, begins) {
             (FaultKind::DiscoveryLinkCut | FaultKind::WorkerLinkCut, true) => link.is_cut = true,
             (FaultKind::DiscoveryLinkCut | FaultKind::WorkerLinkCut, false) => link.heal(),
+            (FaultKind::DiscoveryLinkRefused, true) => link.refuse(),
+            (FaultKind::DiscoveryLinkRefused, false) => link.is_refusing = false,
             (FaultKind::DiscoveryLinkReset | FaultKind::WorkerLinkReset, true) => link.resets += 1,
             (FaultKind::DiscoveryLinkSlow | FaultKind::WorkerLinkSlow, begins) => {
                 link.in_pieces = begins;
--- a/crates/testbed/src/proxy.rs
+++ b/crates/testbed/src/proxy.rs
@@ -22,6 +22,8 @@
 pub struct LinkState {
     /// Nothing passes, in neither direction, and nobody is told of that.
     pub is_cut: bool,
+    /// Connections are reset as soon as they come up.
+    pub is_refusing: bool,
     /// What the server sends arrives so much later.
     pub answer_delay: Duration,
     /// Bytes arrive in small pieces.
@@ -31,6 +33,12 @@
 }
 
 impl LinkState {
+    /// Resets all connections, new ones too.
+    pub fn refuse(&mut self) {
+        self.is_refusing = true;
+        self.resets += 1;
+    }
+
     /// Ends a cut. Connections that were open are reset, since bytes of theirs are missing.
     pub fn heal(&mut self) {
         self.is_cut = false;
@@ -68,6 +76,9 @@
 
 /// Forwards one connection until an end closes it or the link resets it.
 async fn forward(mut client: TcpStream, target: SocketAddr, state: watch::Receiver<LinkState>) {
+    if state.borrow().is_refusing {
+        return reset(&client);
+    }
     let Ok(mut server) = TcpStream::connect(target).await else { return reset(&client) };
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
--- a/crates/testbed/src/scenario/fault.rs
+++ b/crates/testbed/src/scenario/fault.rs
@@ -69,6 +69,8 @@
     Slow,
     /// A worker completes what is running and ends; after `for_s` it starts again, cold.
     Drain,
+    /// Discovery lists a worker as draining, and as in service again after `for_s`; it goes on taking all that it is sent.
+    AnnouncedDrain,
     /// Workers that were not there start, cold.
     Grow,
     /// Discovery fails its polls and ends its watches.
@@ -95,6 +97,8 @@
     DiscoverySlow,
     /// Nothing passes between a node and discovery, in silence; at the end open connections are reset.
     DiscoveryLinkCut,
+    /// Connections between a node and discovery are reset, new ones too.
+    DiscoveryLinkRefused,
     /// All connections of a node to discovery are reset, once.
     DiscoveryLinkReset,
     /// What discovery sends to a node arrives late and in small pieces.
@@ -119,12 +123,14 @@
             | FaultKind::KillInUpgrade
             | FaultKind::NodePause
             | FaultKind::DiscoveryLinkCut
+            | FaultKind::DiscoveryLinkRefused
             | FaultKind::DiscoveryLinkReset
             | FaultKind::DiscoveryLinkSlow => true,
             FaultKind::Kill
             | FaultKind::Silent
             | FaultKind::Slow
             | FaultKind::Drain
+            | FaultKind::AnnouncedDrain
             | FaultKind::Grow
             | FaultKind::DiscoveryDown
             | FaultKind::DiscoverySlow
@@ -140,6 +146,7 @@
         matches!(
             self,
             FaultKind::DiscoveryLinkCut
+                | FaultKind::DiscoveryLinkRefused
                 | FaultKind::DiscoveryLinkReset
                 | FaultKind::DiscoveryLinkSlow
                 | FaultKind::WorkerLinkCut
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -38,19 +38,21 @@
 const JOBS_PER_WORKER: f64 = 2.5;
 
 /// The kinds that are drawn, with their weights.
-const KINDS: [(FaultKind, u32); 16] = [
-    (FaultKind::Kill, 3),
-    (FaultKind::Drain, 5),
+const KINDS: [(FaultKind, u32); 18] = [
+    (FaultKind::Kill, 4),
+    (FaultKind::Drain, 2),
+    (FaultKind::AnnouncedDrain, 6),
     (FaultKind::Silent, 2),
     (FaultKind::Slow, 2),
-    (FaultKind::DiscoveryDown, 4),
+    (FaultKind::DiscoveryDown, 3),
     (FaultKind::DiscoverySlow, 3),
     (FaultKind::Reload, 1),
-    (FaultKind::NodeKill, 4),
+    (FaultKind::NodeKill, 5),
     (FaultKind::NodeStop, 2),
     (FaultKind::NodePause, 3),
     (FaultKind::DiscoveryLinkCut, 4),
-    (FaultKind::DiscoveryLinkReset, 4),
+    (FaultKind::DiscoveryLinkRefused, 5),
+    (FaultKind::DiscoveryLinkReset, 3),
     (FaultKind::DiscoveryLinkSlow, 2),
     (FaultKind::WorkerLinkCut, 2),
     (FaultKind::WorkerLinkReset, 3),
@@ -68,7 +70,7 @@
 [fleet]
 fetch_s = 0.02
 warm_up_s = 4.0
-list_late_s = 0.3
+list_late_s = 1.0
 [load]
 rate = 40.0
 retries = 2
@@ -183,7 +185,11 @@
         match kind {
             FaultKind::DiscoveryDown | FaultKind::DiscoverySlow => Some(Vec::new()),
             // Often several at once, as when a zone is lost; a third of all keep running.
-            FaultKind::Kill | FaultKind::Drain | FaultKind::Silent | FaultKind::Slow => {
+            FaultKind::Kill
+            | FaultKind::Drain
+            | FaultKind::AnnouncedDrain
+            | FaultKind::Silent
+            | FaultKind::Slow => {
                 let spare = self.soak.workers / 3;
                 take_some(&mut self.random, &mut self.workers, spare)
             }
--- a/crates/testbed/tests/lab.rs
+++ b/crates/testbed/tests/lab.rs
@@ -47,6 +47,27 @@
     assert!(seen.lines().all(|line| serde_json::from_str::<serde_json::Value>(line).is_ok()));
 }
 
+/// The incident of 2026-12-02: restarted nodes sent to workers that had begun to drain while they were down.
+#[test]
+fn nodes_come_back_with_old_lists_then_nothing_is_sent_to_workers_that_drain() {
+    let scenario = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios/restart-with-old-list.toml");
+    let out = run(scenario, "restart-with-old-list", &[]);
+    // 3 says that a busy machine made the load late, which is no fault of the node.
+    assert!(matches!(out.status.code(), Some(0 | 3)), "{out:?}");
+}
+
+#[test]
+fn soak_runs_of_fixed_seeds_break_no_rule() {
+    let out = Command::new(env!("CARGO_BIN_EXE_curlewusher-testbed"))
+        .args(["soak", "--first", "5", "--seeds", "2", "--nodes", "8", "--workers", "9"])
+        .args(["--length", "15", "--faults", "9", "--out"])
+        .arg(folder("soak"))
+        .output()
+        .expect("the lab starts");
+    assert_eq!(out.status.code(), Some(0), "{out:?}");
+    assert_eq!(text(&out.stdout).lines().count(), 3, "{out:?}");
+}
+
 const HARD: &str = r#"
 title = "every rule in reach"
 seed = 3
