Polls after failures spread by what a poll may cost, not by the cheapest one answered

Answered polls had taken 0.5 ms, so that the estimate was 5 ms and each node polled every 2.2 s; at discovery's return one takes about 90 ms. Change: the spread doubles with each failure, up to what all nodes need at 70 ms a poll, 7.5 s at most.

--- a/crates/core/src/poll_schedule.rs
+++ b/crates/core/src/poll_schedule.rs
@@ -40,8 +40,11 @@
 const MAX_UNCONTENDED_SPREAD: Micros = 5_000_000;
 /// After failures the spread grows up to the time needed for all nodes and this part (one in so many) more.
 const SPREAD_RESERVE_PART: Micros = 10;
-/// Maximum number of times that the spread grows by half.
-const MAX_SPREAD_GROWTHS: u32 = 16;
+/// Maximum number of times that the spread doubles.
+const MAX_SPREAD_DOUBLINGS: u32 = 16;
+/// The spread grows up to this also where answered polls were cheaper: those may have had nothing to tell, and if all
+/// nodes went by them, an overloaded discovery would never answer again.
+const MAX_OVERLOADED_SPREAD: Micros = 7_500_000;
 /// The time to the next poll varies at random by this part (one in so many), both ways.
 const JITTER_PART: Micros = 25;
 
@@ -175,6 +178,8 @@
 
     fn record_failed_poll(&mut self, now: Micros, min_delay: Micros, rng: &mut fastrand::Rng) {
         self.spread = self.spread_after_failure();
+        // Nodes keep their distance from each other. Drawn evenly anew, the polls of more nodes than discovery can serve
+        // would keep its queue full, and it would answer none in time.
         let jittered = self.spread - self.spread / JITTER_PART + rng.u64(0..=2 * self.spread / JITTER_PART);
         self.next_poll_at = Some((now + min_delay).max(self.last_poll_at + jittered));
         self.consecutive_failures = self.consecutive_failures.saturating_add(1);
@@ -188,16 +193,17 @@
         self.next_poll_at = Some(now + min_delay + offset);
     }
 
-    /// The longer of the backoff of this node and the spread for all nodes, which grows by half with each failure.
+    /// The longer of the backoff of this node and the spread for all nodes, which doubles with each failure.
     fn spread_after_failure(&self) -> Micros {
         let doublings = self.consecutive_failures.min(MAX_BACKOFF_DOUBLINGS);
         let backoff = (INITIAL_BACKOFF << doublings).min(MAX_BACKOFF);
         let all_nodes = self.load.time_for_all_nodes();
-        let growths = self.consecutive_failures.min(MAX_SPREAD_GROWTHS);
-        let grown =
-            (0..growths).fold(self.initial_spread(), |spread, _| (spread + spread / 2).min(2 * all_nodes));
-        let max_spread = (all_nodes + all_nodes / SPREAD_RESERVE_PART).max(MAX_BACKOFF);
-        backoff.max(grown).min(max_spread)
+        let max_spread = (all_nodes + all_nodes / SPREAD_RESERVE_PART)
+            .max(self.load.time_for_all_nodes_if_overloaded())
+            .max(MAX_BACKOFF);
+        let doublings = self.consecutive_failures.min(MAX_SPREAD_DOUBLINGS);
+        let grown = (self.initial_spread() << doublings).min(max_spread);
+        backoff.max(grown)
     }
 
     /// A spread in which discovery answers all nodes before it drops a poll. While no poll has been answered it is
@@ -224,6 +230,12 @@
         self.poll_cost = Some(estimate + (duration - estimate) / POLL_COST_SMOOTHING);
     }
 
+    /// The same if polls cost as much as they are assumed to cost before any was answered, within bounds.
+    fn time_for_all_nodes_if_overloaded(&self) -> Micros {
+        let all_nodes = self.nodes * DEFAULT_POLL_COST;
+        (all_nodes + all_nodes / SPREAD_RESERVE_PART).min(MAX_OVERLOADED_SPREAD)
+    }
+
     /// Time that discovery needs for one poll of each node.
     fn time_for_all_nodes(&self) -> Micros {
         self.nodes * self.poll_cost.unwrap_or(DEFAULT_POLL_COST)
--- a/crates/core/tests/fleets.rs
+++ b/crates/core/tests/fleets.rs
@@ -27,6 +27,8 @@
     nodes: u32,
     /// Time that discovery takes to serve a poll.
     poll_duration: Micros,
+    /// The same before discovery goes down for the first time: there is nothing to tell.
+    quiet_poll_duration: Micros,
     /// A poll that has timed out takes that time as well.
     serves_timed_out_polls: bool,
     down_from: Micros,
@@ -54,6 +56,7 @@
             nodes,
             // The whole list of a fleet takes no longer than 10 s, as on the sites that are known.
             poll_duration: (rng.u64(5..70) * MILLISECOND).min(10 * SECOND / u64::from(nodes)),
+            quiet_poll_duration: 0,
             serves_timed_out_polls: rng.bool(),
             down_from,
             down_until: down_from + rng.u64(0..15) * SECOND,
@@ -107,7 +110,9 @@
             let Some(poll) = self.queue.pop_front() else { break };
             let in_time = is_waiting(&poll) && now < poll.begin + POLL_TIMEOUT;
             if in_time || scenario.serves_timed_out_polls {
-                self.free_at = now + scenario.poll_duration;
+                let is_quiet = now < scenario.down_from && scenario.quiet_poll_duration > 0;
+                self.free_at =
+                    now + if is_quiet { scenario.quiet_poll_duration } else { scenario.poll_duration };
             }
             self.serving = in_time.then_some(poll);
         }
@@ -320,3 +325,27 @@
         assert!(report.sent * 4 > report.submitted, "seed {seed}: {scenario:?} {report:?}");
     }
 }
+
+/// Polls that were answered at the start cost little, since there was nothing to tell. If the nodes spread their polls by
+/// that, a discovery that has more to tell after it was down is overloaded and never answers anybody again.
+#[test]
+fn first_polls_were_cheap_then_discovery_is_not_overloaded_for_good() {
+    for nodes in [60, 100, 140] {
+        let scenario = Scenario {
+            nodes,
+            poll_duration: 70 * MILLISECOND,
+            quiet_poll_duration: MILLISECOND,
+            serves_timed_out_polls: true,
+            down_from: BEGIN + 8 * SECOND,
+            down_until: BEGIN + 14 * SECOND,
+            watches_close: None,
+            watches_fall_silent: None,
+            nodes_restart: None,
+            drains: vec![BEGIN + 16 * SECOND],
+        };
+        let report = run(&scenario, 1);
+        println!("{nodes} nodes: {report:?}");
+        assert_eq!(report.late_sends, 0, "{nodes} nodes: {report:?}");
+        assert!(report.sent * 2 > report.submitted, "{nodes} nodes: {report:?}");
+    }
+}
