--- a/crates/core/src/permission/endpoint_lease.rs
+++ b/crates/core/src/permission/endpoint_lease.rs
@@ -47,6 +47,7 @@
 }
 
 impl EndpointLease {
+    /// The lease of a process that has just started: the list was never confirmed.
     pub(crate) fn new(settings: &Settings) -> Self {
         let limit = settings.assumed_notified_after;
         EndpointLease {
--- a/crates/testbed/src/play.rs
+++ b/crates/testbed/src/play.rs
@@ -1,7 +1,7 @@
 //! Owns a run from its first process to its last: the order of start and end, the faults at their times, and the samples
 //! of cost. It must never judge what happened.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -126,7 +126,7 @@
     });
     let starts = environment.start_all_nodes();
     tokio::select! {
-        started = starts => started?,
+        started = starts => started.map_err(|error| error.to_string())?,
         // What has started ends with its handle.
         _ = tokio::signal::ctrl_c() => return Err("interrupted before the load began; nothing was seen".into()),
     }
@@ -207,18 +207,22 @@
         self.crashes.lock().push(words.to_string());
     }
 
-    /// Starts all nodes at once, and returns when each is ready.
-    async fn start_all_nodes(self: &Arc<Self>) -> Result<(), String> {
+    /// Starts all nodes at once, and returns when each is ready or has failed, with the failure of the first in their order.
+    async fn start_all_nodes(self: &Arc<Self>) -> Result<(), StartError> {
         let mut starts = JoinSet::new();
         for node in 0..self.scenario.nodes.count {
             let environment = self.clone();
             let listen = SocketAddr::from(([127, 0, 0, 1], 0));
-            starts.spawn(async move { environment.start_node(node, listen).await });
+            starts.spawn(async move { (node, environment.start_node(node, listen).await) });
         }
+        let mut failures = BTreeMap::new();
         while let Some(started) = starts.join_next().await {
-            started.map_err(|e| e.to_string())?.map_err(|e| e.to_string())?;
+            match started {
+                Ok((node, result)) => failures.extend(result.err().map(|error| (node, error))),
+                Err(error) => std::panic::resume_unwind(error.into_panic()),
+            }
         }
-        Ok(())
+        failures.into_values().next().map_or(Ok(()), Err)
     }
 
     async fn sample(&self, into: Arc<parking_lot::Mutex<Vec<Sample>>>) {
--- a/crates/testbed/src/proxy.rs
+++ b/crates/testbed/src/proxy.rs
@@ -133,7 +133,3 @@
         std::future::pending().await
     }
 }
-
-#[cfg(test)]
-#[path = "../tests/unit/proxy.rs"]
-mod tests;
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -30,7 +30,7 @@
 const RECOVERY_S: f64 = 5.0;
 const MAX_FAULT_S: f64 = 12.0;
 /// A node may be held up for so long; longer pauses are faults of the machine that no limit allows for.
-const MAX_PAUSE_S: f64 = 0.15;
+pub const MAX_PAUSE_S: f64 = 0.15;
 const MAX_SLOWDOWN: f64 = 5.0;
 /// Calls of discovery take so many times as long: the calls of all nodes do not fit any more.
 const MAX_DISCOVERY_SLOWDOWN: f64 = 40.0;
@@ -259,7 +259,3 @@
     }
     row
 }
-
-#[cfg(test)]
-#[path = "../tests/unit/soak.rs"]
-mod tests;
--- a/crates/testbed/tests/unit/fleet.rs
+++ b/crates/testbed/tests/unit/fleet.rs
@@ -1,5 +1,8 @@
 //! Ports of workers.
 
+#[path = "proxy.rs"]
+mod proxy;
+
 use super::*;
 
 #[tokio::test]
--- a/crates/testbed/tests/unit/proxy.rs
+++ b/crates/testbed/tests/unit/proxy.rs
@@ -4,7 +4,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::{LinkState, Proxy};
+use crate::proxy::{LinkState, Proxy};
 
 /// A connection through a proxy, with both of its ends.
 async fn connect(state: &watch::Sender<LinkState>) -> (TcpStream, TcpStream, Proxy) {
--- a/crates/testbed/tests/unit/soak.rs
+++ b/crates/testbed/tests/unit/soak.rs
@@ -1,7 +1,7 @@
 //! The same seed draws the same faults, and all that is drawn is a valid scenario.
 
-use super::{MAX_PAUSE_S, Soak};
 use crate::scenario::{FaultKind, Scenario};
+use crate::soak::{MAX_PAUSE_S, Soak};
 
 fn soak(seed: u64) -> Soak {
     Soak { seed, nodes: 8, workers: 9, length_s: 20.0, faults: 12 }
--- a/crates/testbed/tests/unit/stress_run.rs
+++ b/crates/testbed/tests/unit/stress_run.rs
@@ -1,5 +1,8 @@
 //! Drawing of stress runs.
 
+#[path = "soak.rs"]
+mod soak;
+
 use super::*;
 use crate::scenario::UpgradeProcess;
 
