--- a/crates/core/src/permission/mod.rs
+++ b/crates/core/src/permission/mod.rs
@@ -1,8 +1,10 @@
 //! Permission: whether something may be sent, repeated, closed or started now.
 //!
-//! The modules of `policy` decide what is worth doing; whatever they choose has to be permitted here as well. Every path
-//! to a worker, to an answer, to the end of a connection and to the readiness of a process asks this module, and nothing
-//! else in the project answers these questions:
+//! The modules of `policy` decide what is worth doing; whatever they choose has to be permitted here as well. Every send,
+//! every rejection, the readiness of a process, and the closing of a client's connection by timeout, eviction or
+//! redirection ask this module. Not asked yet are closings at shutdown, at a job's migration and of a peer that reads
+//! nothing, which the embedder's server decides.
+//!
 //!
 //! | question | asked by | answered by |
 //! | --- | --- | --- |
