Connections log their changes of state and the reason of each close; shutdown asks permission

The shutdown decided about its closings beside the permission module. Change: a connection has a number. Its changes of state are logged at trace, requested, deferred and aborted closes with their reason at debug. Drain and shutdown are reasons of may_close_connection, with the same conditions as before; a connection that carries a request is not told to close at the shutdown any more, since its response says Connection: close anyway.

--- a/crates/core/src/permission/closing.rs
+++ b/crates/core/src/permission/closing.rs
@@ -55,6 +55,10 @@
     Eviction,
     /// Its client is redirected to another node.
     Redirection,
+    /// The process shuts down and still accepts jobs: only connections without a request are closed.
+    Drain,
+    /// The process shuts down and accepts no jobs any more.
+    Shutdown,
 }
 
 /// Whether a connection may be closed now without losing a request: none may be read and unanswered on it, and none is
@@ -78,10 +82,14 @@
         }
         (ConnectionUse::New { age, .. }, _) => after(age, MIN_NEW_AGE, Denial::RequestMayArrive),
         // A request that makes progress is a slow client's; one that has stalled is abandoned.
-        (ConnectionUse::Reading { stalled_for, .. }, CloseReason::Eviction) => {
+        (ConnectionUse::Reading { stalled_for, .. }, CloseReason::Eviction | CloseReason::Shutdown) => {
             after(stalled_for, STALLED_AFTER, Denial::RequestUnanswered)
         }
-        (ConnectionUse::Reading { .. }, CloseReason::Redirection) => Err(Denial::RequestUnanswered),
+        (ConnectionUse::Reading { .. }, CloseReason::Redirection | CloseReason::Drain) => {
+            Err(Denial::RequestUnanswered)
+        }
+        // Clients that find a used connection closed by a shutdown send their request to another node.
+        (ConnectionUse::Idle { .. }, CloseReason::Drain | CloseReason::Shutdown) => Ok(()),
         (ConnectionUse::Idle { age }, _) => after(age, MIN_IDLE_AGE, Denial::RequestMayArrive),
     }
 }
--- a/crates/node/src/server/connection/mod.rs
+++ b/crates/node/src/server/connection/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! A [`Connection`] knows nothing of the requests that it carries and answers none. The task that serves the
 //! connection moves it through [`ConnectionState`]; the listener and the shutdown close it through the
-//! methods here, which set a flag and wake that task.
+//! methods here, which set a flag and wake that task. Each change of state and each reason for a close is logged
+//! with the connection's number.
 //!
 //! | from | to | when |
 //! | --- | --- | --- |
@@ -24,6 +25,9 @@
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 use tokio::time::Instant;
+use tracing::{debug, trace};
+
+use crate::telemetry::logging::SERVER;
 
 pub use filtered_stream::FilteredStream;
 pub use lingering_close::{discard_and_close, lingering_close};
@@ -37,7 +41,7 @@
 pub const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// State of a connection, in the order in which connections are evicted when descriptors run low.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ConnectionState {
     /// This process has sent its last byte and discards what the peer still sends.
     Lingering,
@@ -51,8 +55,19 @@
     Busy,
 }
 
+/// Why a connection ends at once, with nothing more written.
+#[derive(Clone, Copy, Debug)]
+pub enum AbortReason {
+    /// The other process of this node serves its client.
+    JobMigrated,
+    /// The peer reads nothing of what is written to it.
+    PeerReadsNothing,
+}
+
 /// An accepted connection, shared by the task that serves it and those that may close it.
 pub struct Connection {
+    /// Its number in the log.
+    number: u64,
     state: Cell<ConnectionState>,
     /// When it entered that state, or was last chosen for eviction.
     state_since: Cell<Instant>,
@@ -77,9 +92,10 @@
 }
 
 impl Connection {
-    /// A connection that was just accepted.
-    pub fn new() -> Connection {
+    /// A connection that was just accepted, with its number in the log.
+    pub fn new(number: u64) -> Connection {
         Connection {
+            number,
             state: Cell::new(ConnectionState::New),
             state_since: Cell::new(Instant::now()),
             request_started: Cell::new(Instant::now()),
@@ -94,6 +110,11 @@
         }
     }
 
+    /// Its number in the log.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
     /// State of the connection.
     pub fn state(&self) -> ConnectionState {
         self.state.get()
@@ -106,6 +127,8 @@
 
     /// Enters a state and wakes the reader that waits for that.
     pub fn enter(&self, state: ConnectionState) {
+        let (connection, from) = (self.number, self.state.get());
+        trace!(target: SERVER, connection, ?from, to = ?state, "connection state changed");
         let now = Instant::now();
         if state == ConnectionState::Reading && self.state.get() != ConnectionState::New {
             self.request_started.set(now);
@@ -161,13 +184,17 @@
     }
 
     /// Requests a graceful close, which is safe between two requests.
-    pub fn close_gracefully(&self) {
+    pub fn close_gracefully(&self, reason: CloseReason) {
+        let (connection, state) = (self.number, self.state.get());
+        debug!(target: SERVER, connection, ?state, ?reason, "connection close requested");
         self.read_expired.set(self.state.get() < ConnectionState::Idle);
         self.close_requested.notify_one();
     }
 
     /// Requests an immediate end, with nothing more written.
-    pub fn abort(&self) {
+    pub fn abort(&self, reason: AbortReason) {
+        let (connection, state) = (self.number, self.state.get());
+        debug!(target: SERVER, connection, ?state, ?reason, "connection aborted");
         self.aborted.set(true);
         self.close_requested.notify_one();
     }
@@ -181,9 +208,9 @@
     pub fn evict(&self) {
         // A graceful close would wait forever for a peer that reads nothing.
         if self.is_write_blocked_for(STALLED_AFTER) {
-            self.abort();
+            self.abort(AbortReason::PeerReadsNothing);
         } else {
-            self.close_gracefully();
+            self.close_gracefully(CloseReason::Eviction);
         }
         // It is not chosen again right away.
         self.state_since.set(Instant::now());
@@ -196,11 +223,6 @@
         written
     }
 
-    /// Whether the time for its request, or between two requests, is up.
-    pub fn is_timed_out(&self, idle_timeout: Duration) -> bool {
-        self.may_close(CloseReason::Timeout { idle_timeout }).is_ok()
-    }
-
     /// Whether its client can be redirected safely: it has sent no part of a request, for long enough
     /// that none is likely to be in transit. A client that is sending may finish.
     pub fn is_redirectable(&self) -> bool {
@@ -213,7 +235,11 @@
         self.may_close(CloseReason::Eviction).is_ok()
     }
 
-    fn may_close(&self, reason: CloseReason) -> Result<(), Denial> {
+    /// Whether it may be closed for that reason without losing a request.
+    ///
+    /// # Errors
+    /// The reason for which it has to stay open.
+    pub fn may_close(&self, reason: CloseReason) -> Result<(), Denial> {
         may_close_connection(self.carries(), reason)
     }
 
--- a/crates/node/src/server/job_handler.rs
+++ b/crates/node/src/server/job_handler.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
 
+use super::connection::AbortReason;
 use super::error::RequestError;
 use super::migration::{MIGRATION_RETRY_PAUSE, migrate_job};
 use super::open_job::OpenJob;
@@ -90,7 +91,7 @@
                     let outcome = migrate_job(&self.state, job_handle, client).await;
                     if outcome == MigrationOutcome::Accepted {
                         open_job.disarm_disconnect_message();
-                        self.connection.abort();
+                        self.connection.abort(AbortReason::JobMigrated);
                         // The task of the connection ends now, and drops this future.
                         pending::<()>().await;
                     }
--- a/crates/node/src/server/listener.rs
+++ b/crates/node/src/server/listener.rs
@@ -7,13 +7,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use curlewusher_core::permission::CloseReason;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use tracing::warn;
 
 use super::Server;
-use super::connection::{Connection, ConnectionState, WRITE_TIMEOUT};
+use super::connection::{AbortReason, Connection, ConnectionState, WRITE_TIMEOUT};
 use super::service::serve_connection;
 use super::state::ServerState;
 use crate::connection_budget::ConnectionPermit;
@@ -70,11 +71,14 @@
         // A node that shuts down keeps idle connections a little longer: clients use them until then.
         let phase = state.lifecycle.phase();
         let redirects = phase.redirects_clients() && !phase.is_shutting_down();
+        let timed_out = CloseReason::Timeout { idle_timeout };
         for connection in state.live_connections() {
             if connection.is_write_blocked_for(WRITE_TIMEOUT) {
-                connection.abort();
-            } else if connection.is_timed_out(idle_timeout) || redirects && connection.is_redirectable() {
-                connection.close_gracefully();
+                connection.abort(AbortReason::PeerReadsNothing);
+            } else if connection.may_close(timed_out).is_ok() {
+                connection.close_gracefully(timed_out);
+            } else if redirects && connection.is_redirectable() {
+                connection.close_gracefully(CloseReason::Redirection);
             }
         }
     }
@@ -122,7 +126,7 @@
 fn spawn_connection(state: &Rc<ServerState>, stream: TcpStream, permit: Option<ConnectionPermit>) {
     // It is registered here, not when its task first runs: a burst is accepted before that, and would exhaust
     // the budget with connections that cannot be evicted.
-    let connection = Rc::new(Connection::new());
+    let connection = Rc::new(Connection::new(state.number_connection()));
     state.connections.borrow_mut().push(Rc::downgrade(&connection));
     let state = state.clone();
     spawn_local(async move {
--- a/crates/node/src/server/service.rs
+++ b/crates/node/src/server/service.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::TcpStream;
-use tracing::debug;
+use tracing::{debug, trace};
 
 use super::connection::{
     Connection, ConnectionState, FilteredStream, MAX_HEAD_BYTES, ReadFilter, lingering_close,
@@ -76,7 +76,11 @@
             tokio::select! {
                 biased;
                 // Whether it ended well makes no difference here: an open job reports its end by its drop.
-                _ = http.as_mut() => return CloseBy::LingeringClose,
+                _ = http.as_mut() => {
+                    let (connection, state) = (connection.number(), connection.state());
+                    trace!(target: SERVER, connection, ?state, "connection carries no more requests");
+                    return CloseBy::LingeringClose;
+                },
                 () = connection.close_requested() => {
                     if connection.is_aborted() {
                         return CloseBy::Drop;
@@ -87,6 +91,8 @@
                         // hyper, which does not see half a head, would close over a request that has just
                         // begun. It is read to its end and is the last one.
                         connection.mark_last_request();
+                        let (connection, state) = (connection.number(), connection.state());
+                        debug!(target: SERVER, connection, ?state, "connection close deferred");
                     } else if !connection.is_read_expired() {
                         // An expired connection ends by what the filter returns when it is next polled.
                         http.as_mut().graceful_shutdown();
--- a/crates/node/src/server/shutdown.rs
+++ b/crates/node/src/server/shutdown.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use curlewusher_core::permission::CloseReason;
 use tokio::time::{sleep, timeout};
 
 use super::Server;
@@ -32,13 +33,8 @@
     /// Closes clients' connections that carry no request. A request that has begun may complete.
     fn close_idle_clients(&self) {
         for connection in self.state.live_connections() {
-            let is_unused = match connection.state() {
-                ConnectionState::New => connection.is_evictable(),
-                ConnectionState::Idle => true,
-                ConnectionState::Reading | ConnectionState::Busy | ConnectionState::Lingering => false,
-            };
-            if is_unused && !connection.is_worker() {
-                connection.close_gracefully();
+            if !connection.is_worker() && connection.may_close(CloseReason::Drain).is_ok() {
+                connection.close_gracefully(CloseReason::Drain);
             }
         }
     }
@@ -48,8 +44,9 @@
         let all_closed = async {
             loop {
                 for connection in self.state.live_connections() {
-                    if !is_lingering(&connection) && !may_bring_request(&connection) {
-                        connection.close_gracefully();
+                    // One that carries a request closes with its response.
+                    if connection.may_close(CloseReason::Shutdown).is_ok() {
+                        connection.close_gracefully(CloseReason::Shutdown);
                     }
                 }
                 // Connections that wait at the listener are accepted meanwhile.
@@ -64,18 +61,7 @@
     }
 }
 
-fn is_lingering(connection: &Connection) -> bool {
-    connection.state() == ConnectionState::Lingering
-}
-
-/// Whether a request is or may be arriving on a connection: it is rejected once it is complete, but would be
-/// lost if the connection closed without a response.
-fn may_bring_request(connection: &Connection) -> bool {
-    matches!(connection.state(), ConnectionState::New | ConnectionState::Reading)
-        && !connection.is_evictable()
-}
-
 /// Whether a connection has lingered long enough for the process to end.
 fn has_lingered(connection: &Connection) -> bool {
-    is_lingering(connection) && connection.state_since().elapsed() >= MIN_FINAL_LINGER
+    connection.state() == ConnectionState::Lingering && connection.state_since().elapsed() >= MIN_FINAL_LINGER
 }
--- a/crates/node/src/server/state.rs
+++ b/crates/node/src/server/state.rs
@@ -58,6 +58,8 @@
     pub peer: Peer,
     /// Accepted connections; those that have ended are removed by [`ServerState::live_connections`].
     pub connections: RefCell<Vec<Weak<Connection>>>,
+    /// How many connections were accepted.
+    accepted_connections: Cell<u64>,
     /// Jobs whose body was read to its end and that are not answered.
     pub open_jobs: Cell<usize>,
     /// Notified whenever `open_jobs` has decreased.
@@ -83,6 +85,7 @@
             connection_budget: parts.connection_budget,
             peer: parts.peer,
             connections: RefCell::default(),
+            accepted_connections: Cell::new(0),
             open_jobs: Cell::new(0),
             job_closed: Notify::new(),
             intake_closed: Rc::default(),
@@ -97,6 +100,13 @@
         self.connection_budget.target() * 3 / 4
     }
 
+    /// The number of a connection that was just accepted: how many were accepted before it.
+    pub fn number_connection(&self) -> u64 {
+        let number = self.accepted_connections.get();
+        self.accepted_connections.set(number + 1);
+        number
+    }
+
     /// The connections that have not ended.
     pub fn live_connections(&self) -> Vec<Rc<Connection>> {
         let mut connections = self.connections.borrow_mut();
