A drain waits for requests that are arriving, not only for complete ones

What callers saw: a request that was arriving as the last open job was answered got 503, 2.5 s before the node had to exit and beside a free worker. Cause: Server::drain closed the intake as soon as no complete request was open. It is late because the client's system holds a second small write back until the first is acknowledged, which takes 40 ms on a used connection. The close with 0 bytes that was reported earlier was not reproduced. Change: the drain goes on while a request arrives and makes progress, until the last answers are due. New test with the order forced.

--- a/crates/node/src/runtime/shutdown.rs
+++ b/crates/node/src/runtime/shutdown.rs
@@ -6,7 +6,7 @@
 //! 1. the other process of the node, where there is one, is notified, and the phase becomes `ending`;
 //! 2. the dispatch task is given the time by which all open jobs must be answered;
 //! 3. for [`MIN_DRAIN_TIME`] the node accepts and answers as before;
-//! 4. idle connections end, open jobs are answered, then all connections close;
+//! 4. idle connections end, open jobs and requests that are arriving are answered, then all connections close;
 //! 5. cancellations that workers have not acknowledged are sent again for a while;
 //! 6. those still unacknowledged are transferred to the other process, and the takeover socket is closed;
 //! 7. connections accepted meanwhile are closed, then the listener: closed any earlier, it would reset the
@@ -17,7 +17,7 @@
 use curlewusher_core::TimeSpan;
 use tokio::signal::unix::Signal;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tracing::info;
 
 use crate::dispatch::{DispatchMessage, DispatchQueue};
@@ -74,9 +74,10 @@
         terminate.recv().await;
         self.takeover.terminate().await;
         info!(target: NODE, node = %self.name, "graceful shutdown started");
+        let final_answers_due = Instant::now() + self.final_answer_delay;
         self.limit_open_jobs().await;
         sleep(MIN_DRAIN_TIME).await;
-        self.server.drain().await;
+        self.server.drain(final_answers_due).await;
         self.server.close().await;
         self.finish_cancellations().await;
         self.takeover.finish(&self.upstream).await;
--- a/crates/node/src/server/shutdown.rs
+++ b/crates/node/src/server/shutdown.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use curlewusher_core::permission::CloseReason;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::Server;
 use super::connection::{Connection, ConnectionState};
@@ -16,20 +16,32 @@
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 impl Server {
-    /// Closes idle clients' connections and returns once no job is open. The intake is closed then: jobs that
-    /// are read from then on are rejected.
-    pub async fn drain(&self) {
+    /// Closes idle clients' connections and returns once no job is open and, until the last answers are due, no
+    /// request is arriving. The intake is closed then: jobs that are read from then on are rejected.
+    pub async fn drain(&self, final_answers_due: Instant) {
         loop {
             let job_closed = self.state.job_closed.notified();
             self.close_idle_clients();
-            if self.state.open_jobs.get() == 0 {
+            if self.state.open_jobs.get() > 0 {
+                job_closed.await;
+            } else if self.is_request_arriving() && Instant::now() < final_answers_due {
+                sleep(CLOSE_CHECK_INTERVAL).await;
+            } else {
                 self.state.intake_closed.set(true);
                 return;
             }
-            job_closed.await;
         }
     }
 
+    /// Whether a request has begun to arrive and goes on: its client could only find out by a rejection that it
+    /// is not served here.
+    fn is_request_arriving(&self) -> bool {
+        self.state.live_connections().iter().any(|connection| {
+            connection.state() == ConnectionState::Reading
+                && connection.may_close(CloseReason::Shutdown).is_err()
+        })
+    }
+
     /// Closes clients' connections that carry no request. A request that has begun may complete.
     fn close_idle_clients(&self) {
         for connection in self.state.live_connections() {
--- a/crates/node/tests/client_connections/mod.rs
+++ b/crates/node/tests/client_connections/mod.rs
@@ -186,6 +186,28 @@
     assert_answered_before_exit(node, begun.into_iter().map(|(client, _)| client).chain([first]), 200);
 }
 
+#[test]
+fn last_open_job_is_answered_during_shutdown_then_partial_requests_are_completed_and_served() {
+    // Guards against an intake that closes while requests are arriving.
+    let (worker, node, _watch, _discovery) = Node::start_with_worker();
+    let first = node.submit_accepted_job(&worker, "r1", "view", 9.0);
+    let [idle, used] = [connect_idle_client(&node), connect_idle_client(&node)];
+    node.signal("-TERM");
+    node.wait_for_log_line("graceful shutdown started");
+    let requests = ["r2", "r3"].map(|id| job_request(id, "view", 9.0, ""));
+    let mut clients = [used, open_request(node.address, "")];
+    for (client, request) in clients.iter_mut().zip(&requests) {
+        client.write_all(&request.as_bytes()[..30]).expect("it reads");
+    }
+    wait_for_close(idle);
+    node.complete_job(first, "r1", "s-1");
+    for (client, request) in clients.iter_mut().zip(&requests) {
+        client.write_all(&request.as_bytes()[30..]).expect("it reads on");
+    }
+    complete_next_jobs(&node, &worker, clients.len());
+    assert_answered_before_exit(node, clients, 200);
+}
+
 /// A client that requests more than the system buffers for it, and reads the first bytes only.
 fn connect_client_that_reads_nothing(node: &Node) -> TcpStream {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
