Half a request at a shutdown gets 503 in place of a close without a response

What callers saw: a client that paused for 0.8 s in the middle of a request while a node shut down got the end of its connection; one that kept sending slowly held the node until SIGKILL and lost its connection unanswered. Both wrote to a connection that the node itself had left open. Cause: the read filter closed half a head without a response once the intake was closed. close() waited for requests that make progress up to its own 1 s, which ends after the earliest SIGKILL where the drain lasted until the last answers. Change: half a head is rejected with 503 and Connection: close, as half a body was already. Requests in progress have until 0.1 s after the last answers, and 0.8 s at most. A connection with bytes in the read filter's buffer is not closed as idle.

--- a/crates/node/src/runtime/shutdown.rs
+++ b/crates/node/src/runtime/shutdown.rs
@@ -35,6 +35,9 @@
 const MAX_JOB_COMPLETION_TIME: Duration = Duration::from_secs(3);
 /// The last answers are sent this long before SIGKILL.
 const FINAL_ANSWER_MARGIN: Duration = Duration::from_millis(400);
+/// Requests that are arriving when the last answers are sent must be complete within this. It leaves time for
+/// their rejection and the close before SIGKILL, on a node that is held up for a moment as well.
+const LAST_READING_TIME: Duration = Duration::from_millis(100);
 /// Longest wait for acknowledgements of cancellations once everything is answered.
 const CANCELLATION_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The same where another process of the node can go on with them.
@@ -78,10 +81,11 @@
         self.limit_open_jobs().await;
         sleep(MIN_DRAIN_TIME).await;
         self.server.drain(final_answers_due).await;
-        self.server.close().await;
+        let reading_ends = final_answers_due + LAST_READING_TIME;
+        self.server.close(reading_ends).await;
         self.finish_cancellations().await;
         self.takeover.finish(&self.upstream).await;
-        self.close_late_connections().await;
+        self.close_late_connections(reading_ends).await;
         self.lifecycle.apply(PhaseEvent::ShutdownCompleted);
     }
 
@@ -105,8 +109,8 @@
     }
 
     /// Closes the connections that were accepted during the last steps, then the listener.
-    async fn close_late_connections(&self) {
-        self.server.close().await;
+    async fn close_late_connections(&self, reading_ends: Instant) {
+        self.server.close(reading_ends).await;
         self.accept_task.abort();
     }
 }
--- a/crates/node/src/server/connection/mod.rs
+++ b/crates/node/src/server/connection/mod.rs
@@ -79,6 +79,8 @@
     /// The request that is being read has timed out or is evicted.
     read_expired: Cell<bool>,
     is_last_request: Cell<bool>,
+    /// The request that hyper reads stands for half a request, which is rejected.
+    is_request_rejected: Cell<bool>,
     /// Wakes the serving task after `aborted` or `read_expired` was set; with neither set, the connection is
     /// to close as soon as it carries no request.
     close_requested: Notify,
@@ -103,6 +105,7 @@
             is_worker: Cell::new(false),
             read_expired: Cell::new(false),
             is_last_request: Cell::new(false),
+            is_request_rejected: Cell::new(false),
             close_requested: Notify::new(),
             read_waker: RefCell::default(),
             write_blocked_since: Cell::default(),
@@ -168,6 +171,17 @@
         self.is_last_request.get()
     }
 
+    /// Rejects the request that has begun to arrive and is not complete, and closes the connection after that.
+    fn reject_request(&self) {
+        self.is_request_rejected.set(true);
+        self.is_last_request.set(true);
+    }
+
+    /// Whether the request that hyper has read stands for half a request, which is rejected.
+    pub fn is_request_rejected(&self) -> bool {
+        self.is_request_rejected.get()
+    }
+
     /// Completes once a close was requested since it last completed.
     pub fn close_requested(&self) -> Notified<'_> {
         self.close_requested.notified()
--- a/crates/node/src/server/connection/read_filter.rs
+++ b/crates/node/src/server/connection/read_filter.rs
@@ -25,6 +25,8 @@
 const MAX_HEADERS: usize = 100;
 /// What hyper reads in place of a request that must not be served: it answers 400 and closes.
 const INVALID_REQUEST: &[u8] = b"REFUSED\r\n\r\n";
+/// What hyper reads in place of half a request at a shutdown; see [`Connection::is_request_rejected`].
+const REJECTED_REQUEST: &[u8] = b"GET / HTTP/1.1\r\n\r\n";
 /// Value of [`ReadFilter::forwardable_bytes`] for a stream that is passed on to its end.
 const UNLIMITED: u64 = u64::MAX;
 
@@ -37,8 +39,8 @@
     /// How many bytes may be passed on: a head that was inspected, and its body.
     forwardable_bytes: u64,
     metrics: Metrics,
-    /// Set once this node accepts no jobs any more: half a request is then closed without a response, so that
-    /// its client may send it to another node.
+    /// Set once this node accepts no jobs any more: half a request is then rejected, so that its client may send
+    /// it to another node.
     intake_closed: Rc<Cell<bool>>,
 }
 
@@ -68,8 +70,13 @@
         self.stream.as_fd().try_clone_to_owned().ok()
     }
 
+    /// Whether something has arrived that was not passed on, in the buffer or in the socket.
+    pub fn has_pending_input(&self) -> bool {
+        !self.buffered.is_empty() || self.has_unread_input()
+    }
+
     /// Whether the socket has bytes, its end or an error that was not read.
-    pub fn has_unread_input(&self) -> bool {
+    fn has_unread_input(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
         !socket2::SockRef::from(&self.stream)
             .peek(&mut byte)
@@ -130,10 +137,14 @@
             // would be lost. Its length is bounded.
             if self.connection.read_expired.replace(false) && !self.has_unread_input() {
                 self.metrics.add(Counter::ConnectionsTimedOut);
-                if self.forwardable_bytes > 0 || self.buffered.is_empty() || self.intake_closed.get() {
+                if self.forwardable_bytes > 0 || self.buffered.is_empty() {
                     return Poll::Ready(Ok(()));
                 }
-                self.substitute_invalid_request();
+                if self.intake_closed.get() {
+                    self.substitute_rejected_request();
+                } else {
+                    self.substitute_invalid_request();
+                }
                 continue;
             }
             if ready!(self.poll_fill_buffer(context))? == 0 {
@@ -195,8 +206,19 @@
     /// Has hyper answer 400 in place of serving what is buffered.
     fn substitute_invalid_request(&mut self) {
         self.metrics.add(Counter::RequestsMalformed);
+        self.substitute(INVALID_REQUEST);
+    }
+
+    /// Has the service answer 503 in place of serving what is buffered.
+    fn substitute_rejected_request(&mut self) {
+        self.connection.reject_request();
+        self.substitute(REJECTED_REQUEST);
+    }
+
+    /// Passes on a request in place of what is buffered, and then all that follows.
+    fn substitute(&mut self, request: &[u8]) {
         self.buffered.clear();
-        self.buffered.extend_from_slice(INVALID_REQUEST);
+        self.buffered.extend_from_slice(request);
         self.forwardable_bytes = UNLIMITED;
     }
 }
--- a/crates/node/src/server/job_handler.rs
+++ b/crates/node/src/server/job_handler.rs
@@ -34,7 +34,7 @@
             if !intake_closed {
                 state.metrics.add(Counter::RequestsShed);
             }
-            return Ok(response::rejected(state.options.get().overload_retry_after.duration()));
+            return Ok(state.reject_job());
         }
         let body = body?;
         let open_job = OpenJob::new(state);
--- a/crates/node/src/server/service.rs
+++ b/crates/node/src/server/service.rs
@@ -86,7 +86,7 @@
                         return CloseBy::Drop;
                     }
                     if connection.state() == ConnectionState::Reading
-                        || read_filter.borrow().has_unread_input()
+                        || read_filter.borrow().has_pending_input()
                     {
                         // hyper, which does not see half a head, would close over a request that has just
                         // begun. It is read to its end and is the last one.
@@ -106,6 +106,20 @@
 
     /// Answers a request.
     async fn respond(self, request: Request<Incoming>) -> HttpResponse {
+        let mut response = if self.connection.is_request_rejected() {
+            self.state.reject_job()
+        } else {
+            self.handle(request).await
+        };
+        self.connection.enter(ConnectionState::Idle);
+        if self.closes_after_response() {
+            response::set_connection_close(&mut response);
+        }
+        response
+    }
+
+    /// Routes a request to its handler.
+    async fn handle(&self, request: Request<Incoming>) -> HttpResponse {
         let outcome = match Route::of(request.method(), request.uri().path()) {
             Route::Job => self.handle_job(request).await,
             Route::Callback => self.handle_callback(request).await,
@@ -114,12 +128,7 @@
             Route::MethodNotAllowed { allowed } => Ok(response::method_not_allowed(allowed)),
             Route::NotFound => Err(RequestError::NotFound),
         };
-        let mut response = outcome.unwrap_or_else(|error| self.reject_request(&error));
-        self.connection.enter(ConnectionState::Idle);
-        if self.closes_after_response() {
-            response::set_connection_close(&mut response);
-        }
-        response
+        outcome.unwrap_or_else(|error| self.reject_request(&error))
     }
 
     /// The response to a request that is not served; its connection is closed to free its descriptor.
--- a/crates/node/src/server/shutdown.rs
+++ b/crates/node/src/server/shutdown.rs
@@ -10,6 +10,8 @@
 
 /// Within this, last responses must be written and connections closed.
 pub const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Within this of [`CLOSE_TIMEOUT`], requests that have begun must be complete; the rest is for their responses.
+const READING_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long each connection lingers at least before the process ends.
 const MIN_FINAL_LINGER: Duration = Duration::from_millis(100);
 /// How often connections are looked through while they close.
@@ -51,13 +53,18 @@
         }
     }
 
-    /// Closes all connections, those that are still accepted among them, once their responses are written.
-    pub async fn close(&self) {
+    /// Closes all connections, those that are still accepted among them, once their responses are written. Half
+    /// a request is rejected when it makes no progress, and in any case at `reading_ends`, or after
+    /// [`READING_TIMEOUT`] if that is earlier.
+    pub async fn close(&self, reading_ends: Instant) {
+        let reading_ends = reading_ends.min(Instant::now() + READING_TIMEOUT);
         let all_closed = async {
             loop {
+                let is_reading_over = Instant::now() >= reading_ends;
                 for connection in self.state.live_connections() {
-                    // One that carries a request closes with its response.
-                    if connection.may_close(CloseReason::Shutdown).is_ok() {
+                    let is_overdue = is_reading_over && connection.state() == ConnectionState::Reading;
+                    // One that carries a complete request closes with its response.
+                    if is_overdue || connection.may_close(CloseReason::Shutdown).is_ok() {
                         connection.close_gracefully(CloseReason::Shutdown);
                     }
                 }
--- a/crates/node/src/server/state.rs
+++ b/crates/node/src/server/state.rs
@@ -11,6 +11,7 @@
 
 use super::connection::Connection;
 use super::request::JobCatalog;
+use super::response::{self, HttpResponse};
 use crate::connection_budget::ConnectionBudget;
 use crate::dispatch::{Clock, DispatchQueue};
 use crate::handover::Peer;
@@ -107,6 +108,11 @@
         number
     }
 
+    /// The response to a job that is rejected before the dispatch task knows it.
+    pub fn reject_job(&self) -> HttpResponse {
+        response::rejected(self.options.get().overload_retry_after.duration())
+    }
+
     /// The connections that have not ended.
     pub fn live_connections(&self) -> Vec<Rc<Connection>> {
         let mut connections = self.connections.borrow_mut();
--- a/crates/node/tests/client_connections/mod.rs
+++ b/crates/node/tests/client_connections/mod.rs
@@ -208,6 +208,45 @@
     assert_answered_before_exit(node, clients, 200);
 }
 
+#[test]
+fn client_stops_in_middle_of_head_during_shutdown_then_it_gets_503() {
+    // Guards against a close without a response over a request that has begun.
+    let (_worker, node, _watch, _discovery) = Node::start_with_worker();
+    let [idle, used] = [connect_idle_client(&node), connect_idle_client(&node)];
+    node.signal("-TERM");
+    node.wait_for_log_line("graceful shutdown started");
+    let request = job_request("r1", "view", 9.0, "");
+    let clients = [used, open_request(node.address, "")];
+    for mut client in &clients {
+        client.write_all(&request.as_bytes()[..30]).expect("it reads");
+    }
+    wait_for_close(idle);
+    assert_answered_before_exit(node, clients, 503);
+}
+
+#[test]
+fn client_sends_slowly_until_last_answers_of_shutdown_then_it_is_answered_before_sigkill() {
+    // Guards against a request in progress that keeps the node open until it is killed.
+    let (worker, node, _watch, _discovery) = Node::start_with_worker();
+    // Its worker does not complete it: its answer is the last one of the shutdown.
+    let first = node.submit_accepted_job(&worker, "r1", "view", 60.0);
+    let idle = connect_idle_client(&node);
+    node.signal("-TERM");
+    wait_for_close(idle);
+    let slow = open_request(node.address, "POST /api/k1 HTTP/1.1\r\nX-Filler: ");
+    let mut writer = slow.try_clone().expect("a descriptor is free");
+    // Until the node closes the connection; at most the 10 s of the longest request.
+    let sending = std::thread::spawn(move || {
+        (0..100).all(|_| {
+            std::thread::sleep(Duration::from_millis(100));
+            writer.write_all(b"x").is_ok()
+        })
+    });
+    assert_eq!(read_response(first).status(), 503);
+    assert_answered_before_exit(node, [slow], 503);
+    assert!(!sending.join().expect("it does not panic"), "it was cut off");
+}
+
 /// A client that requests more than the system buffers for it, and reads the first bytes only.
 fn connect_client_that_reads_nothing(node: &Node) -> TcpStream {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
