The listener's queue is accepted before the listener closes at the end of a shutdown

What callers saw: clients that connected while a node exited had their connection accepted by the system, sent a job and got a reset. Cause: the listener was closed last, with whatever had queued since the last accept; the descriptor for a successor kept it open until the process ended, so connections went on to queue up. Change: at the end the accept task takes over what waits at the listener, both descriptors are closed, and the connections accepted then are answered. A process that leaves its queue to the other process of the node does not touch it.

--- a/crates/node/src/handover/takeover/commands.rs
+++ b/crates/node/src/handover/takeover/commands.rs
@@ -36,7 +36,10 @@
     async fn accept_successor(&mut self) {
         let snapshot = self.take_snapshot().await;
         let Some(hello) = self.pending_hello.take() else { return };
-        match hello.accept(&self.parts.listener, snapshot).await {
+        let client_listener = self.parts.client_listener.borrow().clone();
+        // Without the listener the shutdown is over, and the connection of the hello ends with the process.
+        let Some(client_listener) = client_listener else { return };
+        match hello.accept(&client_listener, snapshot).await {
             Ok(ends) => {
                 info!(target: NODE, node = %self.parts.admin.name, "successor linked");
                 self.set_link(Some(ends));
--- a/crates/node/src/handover/takeover/mod.rs
+++ b/crates/node/src/handover/takeover/mod.rs
@@ -40,12 +40,15 @@
 /// The rendezvous listener, which the task opens and the handle closes.
 type SharedListener = Rc<RefCell<Option<RendezvousListener>>>;
 
+/// The listener for clients, which the handle drops at the end of the shutdown.
+pub type SharedClientListener = Rc<RefCell<Option<Rc<TcpListener>>>>;
+
 /// The parts of the node that a takeover concerns.
 pub struct TakeoverParts {
     /// Client address of the node.
     pub listen: SocketAddr,
     /// The listener for clients; a successor receives a descriptor of it.
-    pub listener: TcpListener,
+    pub client_listener: SharedClientListener,
     /// Accepts clients' connections and holds jobs.
     pub server: Server,
     /// Sends attempts and cancellations to workers.
@@ -98,6 +101,7 @@
 pub struct TakeoverHandle {
     local_events: mpsc::Sender<LocalEvent>,
     rendezvous_listener: SharedListener,
+    client_listener: SharedClientListener,
     admin: AdminService,
 }
 
@@ -117,7 +121,7 @@
     }
 
     /// The last step of the shutdown: leaves cancellations that no worker has acknowledged to the other process,
-    /// and closes the rendezvous socket.
+    /// closes the rendezvous socket, and passes on the listener for clients to no process any more.
     pub async fn finish(&self, upstream: &UpstreamClient) {
         if let Some(link) = self.admin.peer.link() {
             for target in upstream.unacknowledged_cancellations() {
@@ -129,6 +133,7 @@
         if let Some(listener) = self.rendezvous_listener.take() {
             listener.close();
         }
+        self.client_listener.take();
     }
 }
 
@@ -154,6 +159,7 @@
         let handle = TakeoverHandle {
             local_events: local_event_queue.clone(),
             rendezvous_listener: Rc::clone(&rendezvous_listener),
+            client_listener: Rc::clone(&parts.client_listener),
             admin: parts.admin.clone(),
         };
         let permission = ServingPermission {
--- a/crates/node/src/runtime/shutdown.rs
+++ b/crates/node/src/runtime/shutdown.rs
@@ -9,8 +9,8 @@
 //! 4. idle connections end, open jobs and requests that are arriving are answered, then all connections close;
 //! 5. cancellations that workers have not acknowledged are sent again for a while;
 //! 6. those still unacknowledged are transferred to the other process, and the takeover socket is closed;
-//! 7. connections accepted meanwhile are closed, then the listener: closed any earlier, it would reset the
-//!    connections in its queue.
+//! 7. the listener's queue is accepted and the listener closed, which would reset the connections in its queue;
+//! 8. connections accepted meanwhile are closed.
 
 use std::time::Duration;
 
@@ -42,6 +42,8 @@
 const CANCELLATION_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The same where another process of the node can go on with them.
 const CANCELLATION_TIMEOUT_WITH_PEER: Duration = Duration::from_millis(100);
+/// Longest wait until the queue of the listener is accepted.
+const LISTENER_CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
 /// How often it is checked whether all cancellations are acknowledged.
 const CANCELLATION_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -73,7 +75,7 @@
 
 impl GracefulShutdown {
     /// Waits for SIGTERM and shuts down. Returns once everything is answered and closed.
-    pub async fn run(&self, mut terminate: Signal) {
+    pub async fn run(mut self, mut terminate: Signal) {
         terminate.recv().await;
         self.takeover.terminate().await;
         info!(target: NODE, node = %self.name, "graceful shutdown started");
@@ -108,9 +110,11 @@
         let _ = timeout(limit, idle).await;
     }
 
-    /// Closes the connections that were accepted during the last steps, then the listener.
-    async fn close_late_connections(&self, reading_ends: Instant) {
+    /// Closes the listener, then the connections that were accepted during the last steps.
+    async fn close_late_connections(&mut self, reading_ends: Instant) {
+        self.server.stop_listening();
+        // Its task ends once the queue of the listener is accepted.
+        let _ = timeout(LISTENER_CLOSE_TIMEOUT, &mut self.accept_task).await;
         self.server.close(reading_ends).await;
-        self.accept_task.abort();
     }
 }
--- a/crates/node/src/runtime/startup.rs
+++ b/crates/node/src/runtime/startup.rs
@@ -8,6 +8,7 @@
 //! 4. All tasks are spawned, and the log names the addresses where the node serves.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -272,7 +273,7 @@
         let admin = self.create_admin_service();
         let takeover_parts = TakeoverParts {
             listen: self.listen,
-            listener: listener.for_successor,
+            client_listener: Rc::new(RefCell::new(Some(Rc::new(listener.for_successor)))),
             server: self.server.clone(),
             upstream: self.upstream.clone(),
             admin: admin.clone(),
--- a/crates/node/src/server/listener.rs
+++ b/crates/node/src/server/listener.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use curlewusher_core::permission::CloseReason;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -43,6 +44,19 @@
     Shared,
 }
 
+/// What a process does with the connections that wait at its listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListenerMode {
+    /// It leaves them for the other process of the node.
+    Paused,
+    /// It accepts them.
+    Accepting,
+    /// It accepts those that wait now, and closes the listener.
+    AcceptingRest,
+    /// It has closed the listener, or is about to.
+    Closed,
+}
+
 impl Server {
     /// Opens the listening socket.
     pub fn listen(address: SocketAddr, sharing: PortSharing) -> io::Result<std::net::TcpListener> {
@@ -56,9 +70,13 @@
         socket.listen(LISTEN_BACKLOG)?.into_std()
     }
 
-    /// Accepts connections within the budget and closes those that have timed out. Does not return.
+    /// Accepts connections within the budget and closes those that have timed out. Returns once the listener is
+    /// closed.
     pub async fn accept(self, listener: TcpListener) {
-        tokio::join!(accept_connections(&self.state, listener), close_timed_out_connections(&self.state));
+        tokio::select! {
+            () = accept_connections(&self.state, listener) => {}
+            never = close_timed_out_connections(&self.state) => match never {},
+        }
     }
 }
 
@@ -84,27 +102,52 @@
     }
 }
 
-/// Accepts connections while this process is the one that accepts.
-async fn accept_connections(state: &Rc<ServerState>, listener: TcpListener) -> Infallible {
-    let mut accepting = state.accepting.subscribe();
+/// Accepts connections as the mode of the listener says, until it is closed.
+async fn accept_connections(state: &Rc<ServerState>, listener: TcpListener) {
+    let mut mode = state.listener_mode.subscribe();
     loop {
-        // It fails only without a sender, which the state owns.
-        let _ = accepting.wait_for(|accepting| *accepting).await;
-        let permit = acquire_connection(state).await;
-        let accepted = tokio::select! {
-            biased;
-            _ = accepting.changed() => continue,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _)) => spawn_connection(state, stream, permit),
-            // Descriptors have run out, or a client has closed at once: the listener must survive both.
-            Err(error) => {
-                warn!(target: SERVER, %error, "client accept failed");
-                state.metrics.add(Counter::AcceptFailures);
-                evict_connections(state);
-                sleep(ACCEPT_RETRY_PAUSE).await;
+        let current = *mode.borrow_and_update();
+        match current {
+            ListenerMode::Paused => {
+                // It fails only without a sender, which the state owns.
+                let _ = mode.changed().await;
             }
+            ListenerMode::Accepting => tokio::select! {
+                biased;
+                _ = mode.changed() => {}
+                () = accept_connection(state, &listener) => {}
+            },
+            ListenerMode::AcceptingRest => return accept_rest(state, &listener),
+            ListenerMode::Closed => return,
+        }
+    }
+}
+
+/// Waits for the next connection and serves it.
+async fn accept_connection(state: &Rc<ServerState>, listener: &TcpListener) {
+    let permit = acquire_connection(state).await;
+    match listener.accept().await {
+        Ok((stream, _)) => spawn_connection(state, stream, permit),
+        // Descriptors have run out, or a client has closed at once: the listener must survive both.
+        Err(error) => {
+            warn!(target: SERVER, %error, "client accept failed");
+            state.metrics.add(Counter::AcceptFailures);
+            evict_connections(state);
+            sleep(ACCEPT_RETRY_PAUSE).await;
+        }
+    }
+}
+
+/// Serves the connections that wait at the listener now, so that its close resets none of them. What the kernel
+/// holds is read directly: the runtime may not know of it yet.
+fn accept_rest(state: &Rc<ServerState>, listener: &TcpListener) {
+    let listener = SockRef::from(listener);
+    while let Some(permit) = state.connection_budget.try_acquire()
+        && let Ok((socket, _)) = listener.accept()
+    {
+        let stream = std::net::TcpStream::from(socket);
+        if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+            spawn_connection(state, stream, Some(permit));
         }
     }
 }
--- a/crates/node/src/server/mod.rs
+++ b/crates/node/src/server/mod.rs
@@ -39,6 +39,7 @@
 
 use crate::dispatch::DispatchMessage;
 
+use listener::ListenerMode;
 pub use listener::PortSharing;
 pub use state::ServerParts;
 
@@ -58,12 +59,24 @@
 
     /// Accepts new connections from now on.
     pub fn start_accepting(&self) {
-        self.state.accepting.send_replace(true);
+        self.state.listener_mode.send_replace(ListenerMode::Accepting);
     }
 
     /// Leaves new connections in the queue of the listener for the other process of this node.
     pub fn stop_accepting(&self) {
-        self.state.accepting.send_replace(false);
+        self.state.listener_mode.send_replace(ListenerMode::Paused);
+    }
+
+    /// Accepts what waits at the listener, unless it is left for the other process, and closes the listener.
+    pub fn stop_listening(&self) {
+        self.state.listener_mode.send_modify(|mode| {
+            *mode = match mode {
+                ListenerMode::Accepting => ListenerMode::AcceptingRest,
+                ListenerMode::Paused | ListenerMode::AcceptingRest | ListenerMode::Closed => {
+                    ListenerMode::Closed
+                }
+            };
+        });
     }
 
     /// Has open jobs migrate to the other process of this node.
--- a/crates/node/src/server/state.rs
+++ b/crates/node/src/server/state.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use super::connection::Connection;
+use super::listener::ListenerMode;
 use super::request::JobCatalog;
 use super::response::{self, HttpResponse};
 use crate::connection_budget::ConnectionBudget;
@@ -68,7 +69,7 @@
     /// Set once the shutdown has seen that no job is open; no job is taken from then on.
     pub intake_closed: Rc<Cell<bool>>,
     /// Whether this process accepts new connections.
-    pub accepting: watch::Sender<bool>,
+    pub listener_mode: watch::Sender<ListenerMode>,
     /// Whether open jobs are to migrate to the other process of this node.
     pub migrating: watch::Sender<bool>,
 }
@@ -90,7 +91,7 @@
             open_jobs: Cell::new(0),
             job_closed: Notify::new(),
             intake_closed: Rc::default(),
-            accepting: watch::Sender::new(false),
+            listener_mode: watch::Sender::new(ListenerMode::Paused),
             migrating: watch::Sender::new(false),
         }
     }
--- a/crates/node/tests/client_connections/mod.rs
+++ b/crates/node/tests/client_connections/mod.rs
@@ -1,7 +1,7 @@
 //! Connections of clients that disconnect, close or send at the same moment as the node, or read no responses.
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use socket2::SockRef;
@@ -247,6 +247,35 @@
     assert!(!sending.join().expect("it does not panic"), "it was cut off");
 }
 
+/// Sends a job on one new connection after the other until the node refuses one; each gets 503 before that.
+fn send_until_refused(address: SocketAddr, request: &str) {
+    while let Ok(mut stream) = TcpStream::connect(address) {
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a time-out");
+        stream.write_all(request.as_bytes()).expect("it reads");
+        let answer = HttpMessage::read(&mut std::io::BufReader::new(&stream)).expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (503, Some("close")));
+    }
+}
+
+#[test]
+fn clients_connect_until_node_exits_then_each_is_answered_or_refused() {
+    // Guards against a reset of connections that wait at the listener when the node exits.
+    let (_worker, node, _watch, _discovery) = Node::start_with_worker();
+    let idle = connect_idle_client(&node);
+    node.signal("-TERM");
+    wait_for_close(idle);
+    let address = node.address;
+    let request = job_request("r1", "view", 9.0, "");
+    let clients = [(); 4].map(|()| {
+        let request = request.clone();
+        std::thread::spawn(move || send_until_refused(address, &request))
+    });
+    for client in clients {
+        client.join().expect("each of its connections is answered");
+    }
+    assert!(node.wait_for_exit().status.success());
+}
+
 /// A client that requests more than the system buffers for it, and reads the first bytes only.
 fn connect_client_that_reads_nothing(node: &Node) -> TcpStream {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
