The client's socket is looked at before an attempt is written

Cause: the flag that forbids the write is raised by the task of the client's connection, which runs only once the runtime has polled the socket. A node that is held up in the middle of a turn writes first: the log of the new test shows the attempt decided on and written right after the hold, and the client's close, 0.15 s old by then, read 0.6 ms later. Change: the checks at the decision and before the first byte peek at the client's socket. Jobs that migrated here are not covered.

--- a/crates/node/src/attempt/send_permit.rs
+++ b/crates/node/src/attempt/send_permit.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::cancel_flag::CancelFlag;
+use super::client_presence::ClientPresence;
 
 /// A node may be stalled for this long between reading its clock and writing; the limits of permits allow for it.
 const MAX_HOLD: Duration = Duration::from_millis(150);
@@ -37,8 +38,8 @@
 /// Whether the first byte of one attempt may still be sent. It ends by the first of four:
 ///
 /// - the dispatch task, which alone creates and revokes permits, revokes it;
-/// - the client disconnects: the job's server task raises that flag directly, since in the queue of the
-///   dispatch task it might wait behind others;
+/// - the client disconnects: its socket is looked at, and the job's server task reports it directly, since in
+///   the queue of the dispatch task it might wait behind others;
 /// - a deadline passes, which was fixed when the attempt was decided on;
 /// - the lease on the endpoint list expires, which may have been shortened since.
 #[derive(Default)]
@@ -52,8 +53,8 @@
 pub struct SendPermitParts {
     /// The client's id of the job, for the log.
     pub request_id: Rc<str>,
-    /// Raised when the client has disconnected.
-    pub client_gone: Rc<CancelFlag>,
+    /// Whether the client is still connected.
+    pub client: Rc<ClientPresence>,
     /// The first byte must be sent before this moment.
     pub deadline: Option<Instant>,
     /// The lease on the endpoint list.
@@ -95,8 +96,10 @@
         if self.revoked.is_raised() && (hold.is_zero() || self.revoked.was_raised_before(now, hold)) {
             return Err(Denial::WorkerUnavailable);
         }
-        let client_gone = &self.parts.client_gone;
-        if client_gone.is_raised() && (hold.is_zero() || client_gone.was_raised_before(now, after_client)) {
+        let client = &self.parts.client;
+        let is_client_gone =
+            if hold.is_zero() { client.is_gone() } else { client.was_gone_before(now, after_client) };
+        if is_client_gone {
             return Err(Denial::ClientGone);
         }
         let latest = now.checked_sub(hold).unwrap_or(now);
@@ -114,7 +117,7 @@
         tokio::select! {
             biased;
             () = self.revoked.wait() => {}
-            () = self.parts.client_gone.wait() => {}
+            () = self.parts.client.wait_until_gone() => {}
             () = self.expired() => {}
         }
     }
--- a/crates/node/src/dispatch/jobs.rs
+++ b/crates/node/src/dispatch/jobs.rs
@@ -12,7 +12,7 @@
 
 use super::attempts::Attempt;
 use crate::attempt::AttemptId;
-use crate::attempt::CancelFlag;
+use crate::attempt::ClientPresence;
 
 /// The final response to a job.
 #[derive(Debug)]
@@ -72,14 +72,19 @@
 #[derive(Clone, Default)]
 pub struct JobHandle {
     id: Rc<Cell<Option<JobId>>>,
-    client_gone: Rc<CancelFlag>,
+    client: Rc<ClientPresence>,
 }
 
 impl JobHandle {
     /// From now on no attempt of the job is sent. Everything else that follows from the disconnection waits
     /// for [`DispatchMessage::ClientDisconnected`](super::DispatchMessage::ClientDisconnected).
     pub fn mark_client_gone(&self) {
-        self.client_gone.raise();
+        self.client.mark_gone();
+    }
+
+    /// Sets how to look at the client's socket, which is done before an attempt is sent.
+    pub fn probe_client(&self, is_disconnected: impl Fn() -> bool + 'static) {
+        self.client.set_probe(is_disconnected);
     }
 
     /// The job's id, once the dispatch task has taken the job.
@@ -94,12 +99,12 @@
 
     /// Whether the client has disconnected.
     pub(super) fn is_client_gone(&self) -> bool {
-        self.client_gone.is_raised()
+        self.client.is_gone()
     }
 
-    /// The flag that is raised when the client disconnects.
-    pub(super) fn client_gone_flag(&self) -> Rc<CancelFlag> {
-        self.client_gone.clone()
+    /// The client, as the permits of the job's attempts see it.
+    pub(super) fn client(&self) -> Rc<ClientPresence> {
+        self.client.clone()
     }
 }
 
--- a/crates/node/src/dispatch/task/actions.rs
+++ b/crates/node/src/dispatch/task/actions.rs
@@ -133,7 +133,7 @@
         let (cancel_channel, cancel) = oneshot::channel();
         let send_permit = SendPermit::new(SendPermitParts {
             request_id: Rc::clone(&job.request_id),
-            client_gone: job.job_handle.client_gone_flag(),
+            client: job.job_handle.client(),
             deadline: spec.send_by.map(|moment| self.clock.instant_at(moment)),
             lease: self.permissions.lease(),
         });
--- a/crates/node/src/server/connection/read_filter.rs
+++ b/crates/node/src/server/connection/read_filter.rs
@@ -77,10 +77,21 @@
 
     /// Whether the socket has bytes, its end or an error that was not read.
     fn has_unread_input(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        !socket2::SockRef::from(&self.stream)
-            .peek(&mut byte)
-            .is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+        !self.peek().is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Whether the peer has closed or reset the connection, and all that it sent before was read.
+    pub fn is_disconnected(&self) -> bool {
+        match self.peek() {
+            Ok(bytes) => bytes == 0,
+            Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        }
+    }
+
+    /// Number of bytes that can be read at once, one at most. Asks the operating system: the runtime may not know
+    /// yet of what has arrived.
+    fn peek(&self) -> io::Result<usize> {
+        socket2::SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()])
     }
 
     /// Continues to read while a request is being answered: the end of the stream lies behind all that was sent before
--- a/crates/node/src/server/service.rs
+++ b/crates/node/src/server/service.rs
@@ -145,6 +145,16 @@
         self.read_filter.upgrade()?.borrow().duplicate_socket()
     }
 
+    /// A function that looks whether the peer has disconnected. Once HTTP has ended on the connection it tells
+    /// nothing: the server reports the disconnection, or another process has the connection.
+    pub(super) fn disconnect_probe(&self) -> impl Fn() -> bool + 'static {
+        let read_filter = self.read_filter.clone();
+        move || {
+            let read_filter = read_filter.upgrade();
+            read_filter.is_some_and(|filter| filter.try_borrow().is_ok_and(|filter| filter.is_disconnected()))
+        }
+    }
+
     /// Whether the connection closes after the response that is made now.
     fn closes_after_response(&self) -> bool {
         let redirects = self.state.lifecycle.phase().redirects_clients() && !self.connection.is_worker();
--- a/crates/node/tests/common/process.rs
+++ b/crates/node/tests/common/process.rs
@@ -216,10 +216,19 @@
     /// Pauses the node until the guard is dropped: its configuration becomes a pipe, and reading it blocks. Afterwards it
     /// finds at once all that has arrived and all timers that have expired.
     pub fn pause(&self) -> PausedNode {
+        self.pause_together_with(|| {})
+    }
+
+    /// Like [`Self::pause`], but the node finds what `events` sends together with the signal that pauses it: it handles that
+    /// right after the pause, before it looks at anything that arrives during the pause.
+    pub fn pause_together_with(&self, events: impl FnOnce()) -> PausedNode {
         let text = std::fs::read_to_string(&self.file).expect("its configuration");
         std::fs::remove_file(&self.file).expect("it is a file");
         assert!(Command::new("mkfifo").arg(&self.file).status().expect("mkfifo is there").success());
+        self.signal("-STOP");
+        events();
         self.signal("-HUP");
+        self.signal("-CONT");
         // Returns once the node opens the other end.
         let pipe = std::fs::OpenOptions::new().write(true).open(&self.file).expect("it is read");
         std::fs::remove_file(&self.file).expect("it is a pipe");
--- a/crates/node/tests/send_permits/mod.rs
+++ b/crates/node/tests/send_permits/mod.rs
@@ -3,7 +3,7 @@
 
 use std::io::Read;
 use std::net::TcpStream;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::common::{
     COMPLETED, Client, FullBacklogWorker, Node, ScriptedServer, ScriptedWatch, TEST_TIMEOUT, call_operator,
@@ -11,6 +11,10 @@
     wait_for_counter, wait_for_unread_bytes,
 };
 
+/// A connection to a worker rests for 30 ms after a response.
+const COOL_DOWN: Duration = Duration::from_millis(40);
+/// A node may be held up for this long at any moment.
+const HOLD: Duration = Duration::from_millis(150);
 const CHANGES: &str = "curlewusher_transport_map_changes_total";
 const CLIENTS_GONE: &str = "curlewusher_clients_gone_total";
 const NEVER_SENT: &str = r#"curlewusher_delivery_attempts_ended_total{outcome="never_sent"}"#;
@@ -129,6 +133,33 @@
     wait_for_counter(&node, CLIENTS_GONE, 1);
 }
 
+#[test]
+fn client_disconnects_while_node_is_held_up_before_write_then_nothing_is_sent() {
+    // Guards against attempts for clients whose disconnection has arrived and was not looked at: lifecycle 218.
+    let (worker, discovery) = (ScriptedServer::start(), ScriptedServer::start());
+    let known = [worker.endpoint_json("s-1", "in_service")];
+    let config = node_config_with_long_timeouts(discovery.address, &known);
+    let node = Node::start_with_operator_file(&config, "[next_hop]\nreuse_ms = 60000\n");
+    let _heartbeats = ScriptedWatch::answer(&discovery, &known).keep_alive(discovery);
+    let mut callbacks = connect_known_client(&node);
+    let first = node.submit_job("r1", "order", 600.0);
+    let second = node.submit_job("r2", "order", 600.0);
+    wait_for_counter(&node, "curlewusher_jobs_taken_total", 2);
+    // The connection is idle from the 202 on, so that r2 needs no new one; the end of r1 frees the worker for r2.
+    worker.next_request().accept();
+    std::thread::sleep(COOL_DOWN);
+    let held = node.pause_together_with(|| {
+        callbacks.send(&completion_request("r1"));
+        wait_for_unread_bytes([callbacks.stream()]);
+    });
+    close_and_wait_for_arrival(second);
+    std::thread::sleep(HOLD);
+    drop(held);
+    assert_eq!(read_response(first).status(), 200);
+    wait_for_counter(&node, CLIENTS_GONE, 1);
+    assert!(!worker.has_pending_request(), "an attempt begins 0.1 s after its client has left");
+}
+
 #[test]
 fn client_disconnects_as_its_job_is_dequeued_then_no_attempt_begins() {
     // The worker runs the first, and the second is queued. The callback that frees the worker arrives before the
--- a/crates/node/tests/unit/send_permit.rs
+++ b/crates/node/tests/unit/send_permit.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::{Instant, timeout};
 
-use super::{CancelFlag, Denial, SendLease, SendPermit, SendPermitParts};
+use super::{ClientPresence, Denial, SendLease, SendPermit, SendPermitParts};
 
 const LONG: Duration = Duration::from_hours(1);
 const PERMIT_TIME: Duration = Duration::from_secs(1);
@@ -22,11 +22,11 @@
 #[tokio::test(start_paused = true)]
 async fn when_revoked_or_client_gone_or_expired_then_invalid_at_once_and_waiters_woken() {
     for cause in [Cause::Revoked, Cause::ClientGone, Cause::Deadline] {
-        let client_gone = Rc::<CancelFlag>::default();
+        let client = Rc::<ClientPresence>::default();
         let deadline = (cause == Cause::Deadline).then(|| Instant::now() + PERMIT_TIME);
         let lease = Rc::<SendLease>::default();
         let send_permit = SendPermit::new(SendPermitParts {
-            client_gone: client_gone.clone(),
+            client: client.clone(),
             deadline,
             lease: lease.clone(),
             ..SendPermitParts::default()
@@ -36,7 +36,7 @@
             assert!(send_permit.is_valid());
             match cause {
                 Cause::Revoked => send_permit.revoke(),
-                Cause::ClientGone => client_gone.raise(),
+                Cause::ClientGone => client.mark_gone(),
                 Cause::Deadline => {}
             }
             assert_eq!(send_permit.is_valid(), cause == Cause::Deadline, "{cause:?} ends it in that moment");
@@ -68,12 +68,12 @@
 #[tokio::test(start_paused = true)]
 async fn when_a_byte_is_sent_too_late_then_the_check_after_it_says_why() {
     let (now, held_up) = (Instant::now(), Duration::from_millis(151));
-    let client_gone = Rc::<CancelFlag>::default();
-    client_gone.raise();
+    let client = Rc::<ClientPresence>::default();
+    client.mark_gone();
     let lease = Rc::<SendLease>::default();
     lease.set_deadline(Some(now));
     let cases = [
-        (SendPermitParts { client_gone, ..SendPermitParts::default() }, Denial::ClientGone),
+        (SendPermitParts { client, ..SendPermitParts::default() }, Denial::ClientGone),
         (SendPermitParts { deadline: Some(now), ..SendPermitParts::default() }, Denial::WriteTooLate),
         (SendPermitParts { lease, ..SendPermitParts::default() }, Denial::EndpointsExpired),
     ];
