Soak runs with shutdowns: series of signals, crowds, clients that keep using their connections

Need: the soak did not find that requests are lost at shutdowns. Its clients sent each request at once, SIGKILL came 10.7 s after SIGTERM, one signal at a time, and every request that was sent later than 0.7 s after SIGTERM was allowed to be lost.

--- a/crates/core/src/permission/mod.rs
+++ b/crates/core/src/permission/mod.rs
@@ -1,9 +1,9 @@
 //! Permission: whether something may be sent, retried, closed or started now.
 //!
 //! The modules of `policy` decide what is useful; what they choose must be permitted here as well. Every send, every
-//! rejection, the readiness of a process, and the closing of a client's connection by timeout, eviction or redirection
-//! is checked here. Not checked yet are closings at shutdown, at a job's migration, and of a peer that reads nothing;
-//! the embedder's server decides on those.
+//! rejection, the readiness of a process, and the closing of a client's connection by timeout, eviction, redirection or
+//! shutdown is checked here. Not checked yet are closings at a job's migration, and of a peer that reads nothing; the
+//! embedder's server decides on those.
 //!
 //! | question | asked by | answered by |
 //! | --- | --- | --- |
--- a/crates/testbed/src/client_connections/exchange.rs
+++ b/crates/testbed/src/client_connections/exchange.rs
@@ -2,9 +2,11 @@
 //! what the clients need is read.
 
 use std::mem::MaybeUninit;
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 use crate::event_log::FailureReason;
 
@@ -41,15 +43,39 @@
     matches!(peeked, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
 }
 
-/// Sends a request and reads its response.
-pub(super) async fn exchange(stream: &mut TcpStream, request: &[u8]) -> Result<Exchange, FailureReason> {
-    if stream.write_all(request).await.is_err() {
-        return Err(FailureReason::Reset);
+/// The bytes of a request, and how they are written.
+#[derive(Clone, Copy, Debug)]
+pub struct OutgoingRequest<'run> {
+    /// What is written.
+    pub bytes: &'run [u8],
+    /// How many bytes are written first, and the pause after them; none if all are written at once.
+    pub split: Option<(usize, Duration)>,
+}
+
+impl OutgoingRequest<'_> {
+    async fn write(&self, stream: &mut TcpStream) -> std::io::Result<()> {
+        let mut rest = self.bytes;
+        if let Some((first_length, pause)) = self.split {
+            let (first, second) = self.bytes.split_at(first_length.min(self.bytes.len()));
+            stream.write_all(first).await?;
+            sleep(pause).await;
+            rest = second;
+        }
+        stream.write_all(rest).await
     }
+}
+
+/// Sends a request and reads its response. A response may have come although the request could not be written.
+pub(super) async fn exchange(
+    stream: &mut TcpStream,
+    request: OutgoingRequest<'_>,
+) -> Result<Exchange, FailureReason> {
+    let is_written = request.write(stream).await.is_ok();
     let mut received = Vec::with_capacity(INITIAL_BUFFER_BYTES);
     loop {
         match stream.read_buf(&mut received).await {
             Ok(1..) => {}
+            Ok(0) if received.is_empty() && !is_written => return Err(FailureReason::Reset),
             Ok(0) if received.is_empty() => return Err(failure_of_silent_end(stream)),
             Err(_) if received.is_empty() => return Err(FailureReason::Reset),
             Ok(0) | Err(_) => return Err(FailureReason::Closed),
--- a/crates/testbed/src/client_connections/mod.rs
+++ b/crates/testbed/src/client_connections/mod.rs
@@ -11,8 +11,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
-pub use self::exchange::Response;
 use self::exchange::{Exchange, exchange, is_open};
+pub use self::exchange::{OutgoingRequest, Response};
 use crate::event_log::FailureReason;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -106,7 +106,12 @@
     /// # Errors
     ///
     /// Fails if the connection cannot be opened, or ends before the response is complete.
-    pub async fn send(&self, route: Route, request: &[u8], keep: bool) -> Result<Response, FailureReason> {
+    pub async fn send(
+        &self,
+        route: Route,
+        request: OutgoingRequest<'_>,
+        keep: bool,
+    ) -> Result<Response, FailureReason> {
         let Route { node, address, idle_connection } = route;
         let mut stream = match idle_connection {
             Some(stream) => stream,
--- a/crates/testbed/src/command_line/soak.rs
+++ b/crates/testbed/src/command_line/soak.rs
@@ -35,6 +35,9 @@
     /// Faults in each run
     #[arg(long, default_value_t = 14)]
     faults: usize,
+    /// Shutdowns in each run, with series of signals and clients that keep using their connections
+    #[arg(long, default_value_t = 0)]
+    shutdowns: usize,
     /// The node's program; else the one beside this program
     #[arg(long, value_name = "FILE")]
     node: Option<PathBuf>,
@@ -66,6 +69,7 @@
             workers: self.workers as usize,
             length_s: self.length,
             faults: self.faults,
+            shutdowns: self.shutdowns,
         };
         let scenario = soak.scenario();
         let program = program_at(node.to_owned(), self.out.join(seed.to_string()));
--- a/crates/testbed/src/environment/mod.rs
+++ b/crates/testbed/src/environment/mod.rs
@@ -3,6 +3,7 @@
 
 mod crash;
 mod node_lifecycle;
+mod signal_series;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -13,6 +14,7 @@
 
 pub use crash::NodeCrash;
 pub use node_lifecycle::{MIN_SHUTDOWN_TIME, SHUTDOWN_GRACE, StartError, StopMode};
+pub use signal_series::SignalSeries;
 
 use crate::client_router::ClientRouter;
 use crate::event_log::EventLog;
@@ -109,6 +111,11 @@
         self.nodes.len()
     }
 
+    /// Where a node serves; none before its first start.
+    pub fn address_of(&self, node: usize) -> Option<SocketAddr> {
+        self.node_addresses.get(node)
+    }
+
     /// Locks the slot of a node.
     pub async fn slot(&self, node: usize) -> MutexGuard<'_, NodeSlot> {
         self.nodes[node].lock().await
--- a/crates/testbed/src/environment/node_lifecycle.rs
+++ b/crates/testbed/src/environment/node_lifecycle.rs
@@ -10,7 +10,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use super::{Environment, NodeCrash, NodeSlot};
+use super::{Environment, NodeCrash, NodeSlot, SignalSeries};
 use crate::admin_command::reserve_address;
 use crate::event_log::{Event, Readiness};
 use crate::fleet::FleetError;
@@ -29,10 +29,12 @@
 const FINAL_STOP_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// How the process of a node is stopped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub enum StopMode {
     /// By SIGTERM, and by SIGKILL if it does not exit in time.
     Terminate,
+    /// The same, with more signals after SIGTERM.
+    TerminateUnderSignals(SignalSeries),
     /// By SIGKILL.
     Kill,
 }
@@ -100,7 +102,7 @@
     pub async fn stop_node(&self, node: Node, mode: StopMode) {
         let number = node.spec.number;
         let detection_delay = match mode {
-            StopMode::Terminate => SHUTDOWN_DETECTION_DELAY,
+            StopMode::Terminate | StopMode::TerminateUnderSignals(_) => SHUTDOWN_DETECTION_DELAY,
             StopMode::Kill => DEATH_DETECTION_DELAY,
         };
         let detection = async {
@@ -113,7 +115,8 @@
     async fn stop_process(&self, mut node: Node, mode: StopMode) {
         let number = node.spec.number;
         let is_killed = match mode {
-            StopMode::Terminate => self.terminate_process(&mut node).await,
+            StopMode::Terminate => self.terminate_process(&mut node, &SignalSeries::default()).await,
+            StopMode::TerminateUnderSignals(signals) => self.terminate_process(&mut node, &signals).await,
             StopMode::Kill => {
                 // It has exited by itself if it cannot be killed.
                 let _ = node.child.kill().await;
@@ -124,14 +127,14 @@
     }
 
     /// Sends SIGTERM, and SIGKILL if the process does not exit in time. Returns whether it was killed.
-    async fn terminate_process(&self, node: &mut Node) -> bool {
+    async fn terminate_process(&self, node: &mut Node, signals: &SignalSeries) -> bool {
         let number = node.spec.number;
         self.log.record(Event::NodeTerminated { node: number });
         node.signal(Signal::TERM);
         let longest_s = self.scenario.classes.iter().map(|class| class.timeout_s).fold(0.0, f64::max);
         let shutdown_time = MIN_SHUTDOWN_TIME.max(Duration::from_secs_f64(longest_s));
         let deadline = Instant::now() + shutdown_time + SHUTDOWN_GRACE;
-        match timeout_at(deadline, node.child.wait()).await {
+        match timeout_at(deadline, signals.send_until_exit(node)).await {
             Ok(Ok(status)) if status.success() => false,
             Ok(status) => {
                 self.report_crash(NodeCrash::failed_exit(node, status));
@@ -157,12 +160,12 @@
 
     /// Stops all nodes at the end of a run. With `StopMode::Terminate` each must still be ready.
     pub async fn stop_all_nodes(&self, mode: StopMode) {
-        join_all((0..self.node_count()).map(|number| self.stop_node_at_end(number, mode))).await;
+        join_all((0..self.node_count()).map(|number| self.stop_node_at_end(number, mode.clone()))).await;
     }
 
     async fn stop_node_at_end(&self, number: usize, mode: StopMode) {
         let Some(node) = self.slot(number).await.node.take() else { return };
-        let must_be_ready = mode == StopMode::Terminate;
+        let must_be_ready = matches!(mode, StopMode::Terminate);
         if must_be_ready && check_readiness(node.address).await != Readiness::Yes {
             self.report_crash(NodeCrash::NotReadyAtEnd { node: number });
         }
--- a/crates/testbed/src/event_log.rs
+++ b/crates/testbed/src/event_log.rs
@@ -42,6 +42,9 @@
         id: String,
         #[serde(rename = "why")]
         reason: FailureReason,
+        /// Whether its connection was opened for it.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        on_new_connection: bool,
     },
     /// The last byte of an attempt arrived at a worker; its head had arrived at `head_at`.
     #[serde(rename = "arrived")]
@@ -127,6 +130,12 @@
         node: usize,
         killed: bool,
     },
+    /// Idle clients fill the descriptors of a node from now on, or do so no more.
+    #[serde(rename = "crowd")]
+    ClientCrowd {
+        node: usize,
+        present: bool,
+    },
     /// A readiness check of a node had another result than the one before.
     #[serde(rename = "said")]
     ReadinessChanged {
--- a/crates/testbed/src/faults/mod.rs
+++ b/crates/testbed/src/faults/mod.rs
@@ -1,5 +1,6 @@
 //! Faults of a run: each begins at its time, acts on the environment, and ends after its duration.
 
+mod crowd;
 mod discovery;
 mod links;
 mod nodes;
@@ -58,6 +59,9 @@
             FaultKind::DiscoverySlow => self.slow_discovery().await,
             FaultKind::Reload => self.move_discovery().await,
             FaultKind::NodeStop | FaultKind::NodeKill => self.restart_nodes().await,
+            FaultKind::NodeStopSignals => self.restart_nodes_under_signals().await,
+            FaultKind::ReloadSeries => self.reload_series().await,
+            FaultKind::ClientCrowd => self.crowd_nodes().await,
             FaultKind::NodePause => self.pause_nodes().await,
             FaultKind::DiscoveryLinkCut => self.impair_discovery_links(LinkImpairment::Cut).await,
             FaultKind::DiscoveryLinkRefused => self.impair_discovery_links(LinkImpairment::Refused).await,
--- a/crates/testbed/src/load/clients.rs
+++ b/crates/testbed/src/load/clients.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use super::job_request::JobRequest;
-use crate::client_connections::{Response, Route};
+use crate::client_connections::{OutgoingRequest, Response, Route};
 use crate::client_router::ClientRouter;
 use crate::environment::Environment;
 use crate::event_log::{Event, EventLog, FailureReason};
@@ -22,6 +22,15 @@
 const EXTRA_WAIT: Duration = Duration::from_millis(500);
 /// The longest `Retry-After` that a client follows, in seconds.
 const MAX_RETRY_AFTER_S: f64 = 2.0;
+/// Where the fractions of jobs with split and pipelined requests begin, so that they differ from those with connections
+/// of their own.
+const SPLIT_OFFSET: f64 = 0.37;
+const PIPELINED_OFFSET: f64 = 0.71;
+/// Jobs next to each other have other pauses and are split at other bytes.
+const PAUSE_STEP: f64 = 0.754_877_666_246_692_7;
+const SPLIT_STEP: usize = 7_919;
+/// What is pipelined behind a request.
+const PIPELINED_REQUEST: &str = "GET /ready HTTP/1.1\r\nhost: pipelined\r\n\r\n";
 /// Multiples of this are spread evenly over every range of job indices.
 const GOLDEN_RATIO_FRACTION: f64 = 0.618_033_988_749_895;
 
@@ -138,7 +147,17 @@
 
     /// Whether a job comes on a connection of its own. Their fraction is the same in every range of jobs.
     fn needs_new_connection(&self, job: usize) -> bool {
-        (job as f64 * GOLDEN_RATIO_FRACTION).fract() < self.scenario.load.new_connections
+        is_among(job, 0.0, self.scenario.load.new_connections)
+    }
+
+    /// The pause between both parts of the request for a job; none if it is written at once.
+    fn split_pause(&self, job: usize) -> Option<Duration> {
+        let split = self.scenario.load.split.filter(|split| is_among(job, SPLIT_OFFSET, split.share))?;
+        Some(Duration::from_secs_f64(split.pause_s * (job as f64 * PAUSE_STEP).fract()))
+    }
+
+    fn is_pipelined(&self, job: usize) -> bool {
+        self.scenario.load.pipelined.is_some_and(|share| is_among(job, PIPELINED_OFFSET, share))
     }
 
     async fn send_request(&self, attempt: &Attempt) -> RequestOutcome {
@@ -146,17 +165,20 @@
         let keep_connection = !self.needs_new_connection(job);
         let route = self.router.route(keep_connection);
         let node = route.as_ref().map_or(0, |route| route.node);
+        let on_new_connection = route.as_ref().is_some_and(|route| route.idle_connection.is_none());
         let request_id = format!("j{job}-{retry}");
         self.record_sent(attempt, &request_id, node);
-        let Some(route) = route else { return self.record_failure(request_id, FailureReason::NoNode) };
+        let failed = |id, reason| self.record_failure(id, reason, on_new_connection);
+        let Some(route) = route else { return failed(request_id, FailureReason::NoNode) };
         match self.exchange(attempt, &request_id, route, keep_connection).await {
             Ok(response) => self.record_response(request_id, &response),
-            Err(reason) => self.record_failure(request_id, reason),
+            Err(reason) => failed(request_id, reason),
         }
     }
 
     fn record_sent(&self, attempt: &Attempt, id: &str, node: usize) {
-        let Attempt { job, timeout, send_delay, .. } = *attempt;
+        let Attempt { job, send_delay, .. } = *attempt;
+        let timeout = self.time_from_first_byte(attempt);
         self.sent_requests.record(id, RequestOrigin { node, job });
         self.log.record(Event::RequestSent {
             id: id.to_owned(),
@@ -168,6 +190,11 @@
         });
     }
 
+    /// The client's time from the first byte of its request; its timeout counts from the last one.
+    fn time_from_first_byte(&self, attempt: &Attempt) -> TimeSpan {
+        attempt.timeout + self.split_pause(attempt.job).map_or(TimeSpan::ZERO, TimeSpan::from)
+    }
+
     /// Sends the request of an attempt and reads the response.
     async fn exchange(
         &self,
@@ -184,9 +211,19 @@
             timeout: attempt.timeout,
             is_retry: attempt.retry > 0,
         };
-        let request = request.render(route.address);
-        let response = self.router.connections.send(route, request.as_bytes(), keep_connection);
-        let longest = Duration::from(attempt.timeout) + EXTRA_WAIT;
+        let mut request = request.render(route.address);
+        let request_length = request.len();
+        let is_pipelined = self.is_pipelined(attempt.job);
+        if is_pipelined {
+            request += PIPELINED_REQUEST;
+        }
+        let split = self.split_pause(attempt.job).map(|pause| {
+            let first_length = 1 + attempt.job * SPLIT_STEP % (request_length - 1);
+            (first_length, pause)
+        });
+        let request = OutgoingRequest { bytes: request.as_bytes(), split };
+        let response = self.router.connections.send(route, request, keep_connection && !is_pipelined);
+        let longest = Duration::from(self.time_from_first_byte(attempt)) + EXTRA_WAIT;
         timeout(longest, response).await.unwrap_or(Err(FailureReason::Late))
     }
 
@@ -200,11 +237,16 @@
         }
     }
 
-    fn record_failure(&self, id: String, reason: FailureReason) -> RequestOutcome {
-        self.log.record(Event::RequestFailed { id, reason });
+    fn record_failure(&self, id: String, reason: FailureReason, on_new_connection: bool) -> RequestOutcome {
+        self.log.record(Event::RequestFailed { id, reason, on_new_connection });
         match reason {
             FailureReason::Unreachable | FailureReason::NoNode => RequestOutcome::Unreachable,
             _ => RequestOutcome::NoResponse,
         }
     }
 }
+
+/// Whether a job is among a fraction of all jobs, which is the same in every range of jobs.
+fn is_among(job: usize, offset: f64, fraction: f64) -> bool {
+    (job as f64 * GOLDEN_RATIO_FRACTION + offset).fract() < fraction
+}
--- a/crates/testbed/src/report/figures/traffic.rs
+++ b/crates/testbed/src/report/figures/traffic.rs
@@ -86,7 +86,7 @@
             Event::ResponseReceived { id, status, has_own_result } => {
                 self.set_outcome(id, Outcome::of_response(at, *status, *has_own_result));
             }
-            Event::RequestFailed { id, reason } => self.set_outcome(id, Outcome::of_failure(*reason)),
+            Event::RequestFailed { id, reason, .. } => self.set_outcome(id, Outcome::of_failure(*reason)),
             Event::AttemptArrived { worker, .. } => {
                 self.attempts += 1;
                 self.attempts_by_worker[*worker] += 1;
--- a/crates/testbed/src/rules/job_rules/mod.rs
+++ b/crates/testbed/src/rules/job_rules/mod.rs
@@ -116,7 +116,8 @@
             | Event::ProcessExited { .. }
             | Event::UpgradeBegan { .. }
             | Event::SuccessorReady { .. }
-            | Event::UpgradeEnded { .. } => self.processes.observe(at, event),
+            | Event::UpgradeEnded { .. }
+            | Event::ClientCrowd { .. } => self.processes.observe(at, event),
             Event::AttemptAccepted { .. } | Event::AttemptStarted { .. } | Event::NodeReady { .. } => {}
             Event::ReadinessChanged { .. } | Event::AdminCommandEnded { .. } => {}
             Event::ConnectionsCounted { .. } | Event::Fault { .. } => {}
@@ -141,9 +142,10 @@
                 let response = Response { request: id, status: *status, has_own_result: *has_own_result };
                 self.check_response(at, &response);
             }
-            Event::RequestFailed { id, reason } => {
+            Event::RequestFailed { id, reason, on_new_connection } => {
                 if let Some(request) = self.requests.get_mut(id) {
-                    request.failure = Some(Failure { at, reason: *reason });
+                    let (reason, on_new_connection) = (*reason, *on_new_connection);
+                    request.failure = Some(Failure { at, reason, on_new_connection });
                 }
             }
             _ => {}
--- a/crates/testbed/src/rules/job_rules/process_history.rs
+++ b/crates/testbed/src/rules/job_rules/process_history.rs
@@ -40,6 +40,8 @@
     /// When the testbed killed one of the two processes of an upgrade.
     kills: Vec<Timestamp>,
     upgrades: Vec<UpgradeWindow>,
+    /// When idle clients began to fill its descriptors, and when they left.
+    crowds: Vec<(Timestamp, Option<Timestamp>)>,
 }
 
 /// What happened to the processes of all nodes.
@@ -66,6 +68,12 @@
                     window.ready_at = Some(at);
                 }
             }
+            Event::ClientCrowd { node, present: true } => self.node_mut(*node).crowds.push((at, None)),
+            Event::ClientCrowd { node, present: false } => {
+                if let Some((_, left_at)) = self.node_mut(*node).crowds.last_mut() {
+                    *left_at = Some(at);
+                }
+            }
             Event::UpgradeEnded { node } => {
                 if let Some(window) = self.node_mut(*node).upgrades.last_mut() {
                     window.ended_at = Some(at);
@@ -105,7 +113,7 @@
     /// reading the request, or it ended with the process that the testbed killed. The other process must still respond
     /// to its own requests.
     fn excuses_by_upgrade(&self, request: &Request) -> bool {
-        let Some(Failure { at, reason }) = request.failure else { return false };
+        let Some(Failure { at, reason, .. }) = request.failure else { return false };
         if !matches!(reason, FailureReason::Reset | FailureReason::Closed) {
             return false;
         }
@@ -115,15 +123,39 @@
         in_upgrade && was_unread || ended_with_killed_process
     }
 
-    /// Whether the node exited while the request was open: a killed node may lose it; another one only if the request
-    /// was sent later than the grace after SIGTERM.
+    /// Whether the node was killed while the request was open, or the request crossed the close of its connection.
     fn excuses_by_exit(&self, request: &Request, parameters: &RuleParameters) -> bool {
         let open = request.sent_at..=request.deadline() + parameters.slack;
-        self.exits.iter().filter(|exit| open.contains(&exit.at)).any(|exit| {
-            let sigterm = self.sigterms.iter().copied().rfind(|sigterm| *sigterm <= exit.at);
-            let sent_after_grace =
-                sigterm.is_some_and(|sigterm| request.sent_at > sigterm + parameters.drain_grace);
-            exit.killed || sent_after_grace
+        let was_killed = self.exits.iter().any(|exit| exit.killed && open.contains(&exit.at));
+        was_killed || self.excuses_by_crossing(request, parameters)
+    }
+
+    /// Whether the connection was closed between two requests as this one was on its way: it was forwarded nowhere, and
+    /// its first byte was sent a moment before its client saw the close. A node closes connections of clients at the end
+    /// of its drain; where idle clients fill its descriptors also before, and new connections too.
+    fn excuses_by_crossing(&self, request: &Request, parameters: &RuleParameters) -> bool {
+        let Some(Failure { at, reason, on_new_connection }) = request.failure else { return false };
+        let is_crossing = matches!(reason, FailureReason::Reset | FailureReason::Closed)
+            && request.attempts.is_empty()
+            && at <= request.sent_at + parameters.crossing_tolerance;
+        let is_crowded = self.is_crowded(request.sent_at, parameters);
+        let closes_idle = !on_new_connection && self.is_drain_over(request.sent_at, parameters);
+        is_crossing && (is_crowded || closes_idle)
+    }
+
+    /// Whether the grace after SIGTERM is over at a moment, and the process has not exited before.
+    fn is_drain_over(&self, at: Timestamp, parameters: &RuleParameters) -> bool {
+        let sigterm = self.sigterms.iter().copied().rfind(|sigterm| *sigterm <= at);
+        sigterm.is_some_and(|sigterm| {
+            let has_exited =
+                |exit: &NodeExit| exit.at >= sigterm && at > exit.at + parameters.crossing_tolerance;
+            at > sigterm + parameters.drain_grace && !self.exits.iter().any(has_exited)
+        })
+    }
+
+    fn is_crowded(&self, at: Timestamp, parameters: &RuleParameters) -> bool {
+        self.crowds.iter().any(|(began_at, left_at)| {
+            *began_at <= at && left_at.is_none_or(|left_at| at <= left_at + parameters.crossing_tolerance)
         })
     }
 }
--- a/crates/testbed/src/rules/job_rules/requests.rs
+++ b/crates/testbed/src/rules/job_rules/requests.rs
@@ -32,6 +32,7 @@
 pub(super) struct Failure {
     pub(super) at: Timestamp,
     pub(super) reason: FailureReason,
+    pub(super) on_new_connection: bool,
 }
 
 /// A request of a client.
--- a/crates/testbed/src/rules/mod.rs
+++ b/crates/testbed/src/rules/mod.rs
@@ -46,8 +46,10 @@
     pub notified_within: TimeSpan,
     /// A node must send nothing to a worker from this long after it was notified that the worker is draining or has ended.
     pub stop_within: TimeSpan,
-    /// A request that was sent later than this after SIGTERM may be lost.
+    /// A request that was sent later than this after SIGTERM may cross the close of its connection.
     pub drain_grace: TimeSpan,
+    /// The close of a connection is observed at most this long after the first byte of a request that crosses it.
+    pub crossing_tolerance: TimeSpan,
     /// Window in which work that was sent to an overloaded worker is added up.
     pub fall_window: TimeSpan,
     /// The successor of an upgrade is bound by the registry's entries this long after it is first ready.
--- a/crates/testbed/src/rules/operations_rules/mod.rs
+++ b/crates/testbed/src/rules/operations_rules/mod.rs
@@ -78,10 +78,12 @@
                 let request = Request { job: *job, node: *node, has_reached_worker: false };
                 self.requests.insert(id, request);
             }
-            Event::RequestFailed { id, reason: FailureReason::Reset | FailureReason::Unreachable } => {
+            Event::RequestFailed {
+                id, reason: FailureReason::Reset | FailureReason::Unreachable, ..
+            } => {
                 self.count_harmed_job(at, id);
             }
-            Event::RequestFailed { id, reason: FailureReason::NoNode }
+            Event::RequestFailed { id, reason: FailureReason::NoNode, .. }
             | Event::ResponseReceived { id, status: 429 | 503, .. } => self.count_rejection(at, id),
             Event::AttemptArrived { id, node, worker, head_at, .. } => {
                 self.observe_arrival(id, WorkerAtNode { node: *node, worker: *worker }, *head_at);
--- a/crates/testbed/src/rules/timeline.rs
+++ b/crates/testbed/src/rules/timeline.rs
@@ -39,7 +39,7 @@
             let remark = if *status == 200 && !has_own_result { ", not with its result" } else { "" };
             Some(format!("answered {status}{remark}"))
         }
-        Event::RequestFailed { id, reason } if id == request => Some(format!("no answer: {reason:?}")),
+        Event::RequestFailed { id, reason, .. } if id == request => Some(format!("no answer: {reason:?}")),
         _ => None,
     }
 }
--- a/crates/testbed/src/scenario/conversion.rs
+++ b/crates/testbed/src/scenario/conversion.rs
@@ -14,6 +14,8 @@
 const NOTIFIED_WITHIN: TimeSpan = TimeSpan::from_secs(6);
 const STOP_WITHIN: TimeSpan = TimeSpan::from_millis(750);
 const DRAIN_GRACE: TimeSpan = TimeSpan::from_millis(700);
+/// A node may be held up for this long between reading its clock and writing.
+const MAX_NODE_PAUSE: TimeSpan = TimeSpan::from_millis(150);
 const SUCCESSOR_GRACE: TimeSpan = TimeSpan::from_secs(2);
 /// Repeats of a job with an idempotency key are dropped in a bay for this long.
 pub const DEDUPLICATION_WINDOW: TimeSpan = TimeSpan::from_secs(40);
@@ -106,6 +108,7 @@
             notified_within: NOTIFIED_WITHIN,
             stop_within: STOP_WITHIN,
             drain_grace: DRAIN_GRACE,
+            crossing_tolerance: MAX_NODE_PAUSE + SLACK,
             fall_window: OVERLOAD_WINDOW,
             successor_grace: SUCCESSOR_GRACE,
         }
--- a/crates/testbed/src/scenario/fault.rs
+++ b/crates/testbed/src/scenario/fault.rs
@@ -80,6 +80,13 @@
     /// A node gets SIGTERM, is killed 3.7 s (or, if that is longer, the longest timeout of a class and 0.7 s) later,
     /// and is started again after `for_s`.
     NodeStop,
+    /// The same for nodes whose shutdowns overlap, each under a series of signals that is drawn from the seed: SIGHUP
+    /// several times, SIGTERM twice, and SIGSTOP for up to 0.15 s at the moments of its drain.
+    NodeStopSignals,
+    /// A node gets SIGHUP several times in quick succession, with nothing changed.
+    ReloadSeries,
+    /// Idle clients connect to a node until they fill its descriptors, for `for_s`.
+    ClientCrowd,
     /// A node is killed, and started again after `for_s`.
     NodeKill,
     /// An operator drains a node, and ends the drain after `for_s`.
@@ -118,6 +125,9 @@
         match self {
             FaultKind::Reload
             | FaultKind::NodeStop
+            | FaultKind::NodeStopSignals
+            | FaultKind::ReloadSeries
+            | FaultKind::ClientCrowd
             | FaultKind::NodeKill
             | FaultKind::NodeDrain
             | FaultKind::Upgrade
--- a/crates/testbed/src/scenario/mod.rs
+++ b/crates/testbed/src/scenario/mod.rs
@@ -164,6 +164,12 @@
     /// Fraction of jobs that come each on a connection of its own; the others use persistent connections.
     #[serde(default)]
     pub new_connections: f64,
+    /// Requests that are written in two parts; none if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub split: Option<SplitRequests>,
+    /// Fraction of jobs behind whose request another request is written at once; none if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pipelined: Option<f64>,
     #[serde(default, rename = "tide")]
     pub load_curve: Vec<LoadCurveSegment>,
 }
@@ -183,6 +189,16 @@
     }
 }
 
+/// Requests that clients write in two parts.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SplitRequests {
+    /// The fraction of jobs that are requested so.
+    pub share: f64,
+    /// The longest pause between both parts, in seconds.
+    pub pause_s: f64,
+}
+
 /// A span of time in which the rate is a multiple of the base rate.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/testbed/src/scenario/validation.rs
+++ b/crates/testbed/src/scenario/validation.rs
@@ -85,6 +85,9 @@
             Bound::single("load", "hint_spread", load.hint_spread, 0.0, 5.0),
             Bound::single("load", "retries", f64::from(load.retries), 0.0, 100.0),
             Bound::single("load", "new_connections", load.new_connections, 0.0, 1.0),
+            Bound::single("load", "split.share", load.split.map_or(0.0, |split| split.share), 0.0, 1.0),
+            Bound::single("load", "split.pause_s", load.split.map_or(0.0, |split| split.pause_s), 0.0, 60.0),
+            Bound::single("load", "pipelined", load.pipelined.unwrap_or(0.0), 0.0, 1.0),
             Bound::single("load", "retry_wait_s", load.retry_wait_s, 0.0, 3_600.0),
             Bound::single("", "class", self.classes.len() as f64, 1.0, 64.0),
         ]
@@ -165,8 +168,10 @@
         if let Some(problem) = factor_problem(fault) {
             return invalid("factor", problem);
         }
-        let is_called_back =
-            matches!(fault.kind, FaultKind::NodeDrain | FaultKind::Maintenance | FaultKind::NodePause);
+        let is_called_back = matches!(
+            fault.kind,
+            FaultKind::NodeDrain | FaultKind::Maintenance | FaultKind::NodePause | FaultKind::ClientCrowd
+        );
         if is_called_back && fault.for_s.is_none() {
             return invalid("for_s", Problem::MissingDuration);
         }
--- a/crates/testbed/src/shared_classes.rs
+++ b/crates/testbed/src/shared_classes.rs
@@ -53,9 +53,14 @@
 pub fn scenario_with_shared_classes(other_tables: &str, timeouts: ClassTimeouts) -> Scenario {
     let text = format!("{other_tables}{CLASSES}");
     let mut scenario = Scenario::parse(&text).expect("a constant that the tests parse");
+    set_timeouts(&mut scenario, timeouts);
+    scenario
+}
+
+/// Sets the clients' timeouts of the shared classes.
+pub fn set_timeouts(scenario: &mut Scenario, timeouts: ClassTimeouts) {
     let timeouts = [timeouts.scan_view_s, timeouts.sample_register_s, timeouts.release_order_s];
     for (class, timeout_s) in scenario.classes.iter_mut().zip(timeouts) {
         class.timeout_s = timeout_s;
     }
-    scenario
 }
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -1,9 +1,11 @@
 //! Soak runs: a fleet of real processes under faults that are drawn from a seed and overlap, checked by the rules.
 
 mod fault_draw;
+mod shutdown_draw;
 mod table;
 
 use fault_draw::FaultDraw;
+use shutdown_draw::add_shutdowns;
 pub use table::{table_head, table_row};
 
 use crate::scenario::Scenario;
@@ -22,6 +24,8 @@
     pub length_s: f64,
     /// How many faults are drawn.
     pub faults: usize,
+    /// How many shutdowns are drawn beside them. With none the clients do not cross shutdowns either.
+    pub shutdowns: usize,
 }
 
 /// Jobs a second for each worker: about half of what the workers can do.
@@ -64,6 +68,9 @@
         scenario.fleet.bays = (self.workers / WORKERS_PER_BAY).max(1);
         scenario.load.rate = JOBS_PER_WORKER * self.workers as f64;
         scenario.faults = FaultDraw::new(self).draw();
+        if self.shutdowns > 0 {
+            add_shutdowns(self, &mut scenario);
+        }
         scenario
     }
 }
--- a/crates/testbed/tests/lab.rs
+++ b/crates/testbed/tests/lab.rs
@@ -104,6 +104,15 @@
     assert_eq!(text(&out.stdout).lines().count(), 3, "{out:?}");
 }
 
+#[test]
+fn soak_runs_with_shutdowns_then_no_request_is_lost() {
+    // Guards against requests that are closed without a response while nodes shut down: the incident of 2026-12-03.
+    let arguments = "soak --first 2 --seeds 2 --nodes 8 --workers 9 --length 10 --faults 0 --shutdowns 4";
+    let out = testbed("soak-shutdowns", &arguments.split(' ').collect::<Vec<_>>());
+    assert_eq!(out.status.code(), Some(0), "{out:?}");
+    assert_eq!(text(&out.stdout).lines().count(), 3, "{out:?}");
+}
+
 /// The only class of the scenarios of scripted nodes.
 const ORDER_CLASS: &str = r#"
 [[class]]
--- a/crates/testbed/tests/unit/event_log.rs
+++ b/crates/testbed/tests/unit/event_log.rs
@@ -14,7 +14,7 @@
         timeout: TimeSpan::from_micros(4),
         delay: TimeSpan::from_micros(5),
     };
-    let failed = |reason| Event::RequestFailed { id: REQUEST.into(), reason };
+    let failed = |reason| Event::RequestFailed { id: REQUEST.into(), reason, on_new_connection: false };
     vec![
         sent,
         Event::ResponseReceived { id: REQUEST.into(), status: 200, has_own_result: true },
--- a/crates/testbed/tests/unit/job_rules.rs
+++ b/crates/testbed/tests/unit/job_rules.rs
@@ -19,6 +19,7 @@
         slack: TimeSpan::from_millis(50),
         stop_within: TimeSpan::from_millis(750),
         drain_grace: TimeSpan::from_millis(700),
+        crossing_tolerance: TimeSpan::from_millis(200),
         fall_window: TimeSpan::from_secs(2),
         successor_grace: TimeSpan::from_secs(2),
     }
@@ -71,7 +72,8 @@
 fn missing_response_then_violation_unless_the_node_was_killed_or_the_request_came_late_in_a_drain() {
     let exited = |at, killed| (at, Event::NodeExited { node: 0, killed });
     let sigterm = |at| (at, Event::NodeTerminated { node: 0 });
-    let failed = |reason| (900_000, Event::RequestFailed { id: "r".into(), reason });
+    let failed =
+        |reason| (900_000, Event::RequestFailed { id: "r".into(), reason, on_new_connection: false });
     for (events, broken) in [
         (vec![sent(0, 0), responded(1_050_000, 200)], false),
         (vec![sent(0, 0), responded(1_050_001, 200)], true),
@@ -88,6 +90,35 @@
     }
 }
 
+#[test]
+fn request_crosses_a_close_then_violation_unless_its_first_byte_was_just_sent_unread_between_two_requests() {
+    let failed = |at, on_new_connection| {
+        (at, Event::RequestFailed { id: "r".into(), reason: FailureReason::Closed, on_new_connection })
+    };
+    let sigterm = (0, Event::NodeTerminated { node: 0 });
+    let exited = (1_500_000, Event::NodeExited { node: 0, killed: false });
+    let crowd = |present| (0, Event::ClientCrowd { node: 0, present });
+    let cases = [
+        // Its connection was closed as it was sent; 0.8 s after its first part; as it was sent on a new connection.
+        (vec![sigterm.clone(), sent(800_000, 0), failed(950_000, false), exited.clone()], false),
+        (vec![sigterm.clone(), sent(800_000, 0), failed(1_600_000, false), exited.clone()], true),
+        (vec![sigterm.clone(), sent(800_000, 0), failed(950_000, true), exited.clone()], true),
+        // It was forwarded.
+        (
+            vec![sigterm.clone(), sent(800_000, 0), arrived(810_000, 1, 0), failed(950_000, false), exited],
+            true,
+        ),
+        // Idle clients fill the node's descriptors, or have done so.
+        (vec![crowd(true), sent(800_000, 0), failed(950_000, true)], false),
+        (vec![crowd(true), sent(800_000, 0), failed(1_600_000, true)], true),
+        (vec![crowd(true), crowd(false), sent(800_000, 0), failed(950_000, true)], true),
+    ];
+    for (events, is_violation) in cases {
+        let expected: &[Rule] = if is_violation { &[Rule::OneAnswer] } else { &[] };
+        assert_eq!(broken_rules(&events), expected, "{events:?}");
+    }
+}
+
 #[test]
 fn repeated_attempt_then_violation_unless_the_class_allows_it_and_no_attempt_is_outstanding() {
     let (lost, returned) =
@@ -118,7 +149,7 @@
 
 #[test]
 fn connection_lost_in_an_upgrade_then_violation_unless_unread_or_its_process_was_killed() {
-    let failed = |at, reason| (at, Event::RequestFailed { id: "r".into(), reason });
+    let failed = |at, reason| (at, Event::RequestFailed { id: "r".into(), reason, on_new_connection: false });
     let began = (5, Event::UpgradeBegan { node: 0 });
     let ended = |at| (at, Event::UpgradeEnded { node: 0 });
     let killed = (200_000, Event::ProcessExited { node: 0, is_successor: false, killed: true });
--- a/crates/testbed/tests/unit/soak.rs
+++ b/crates/testbed/tests/unit/soak.rs
@@ -10,7 +10,7 @@
 use crate::soak::{Soak, table_head, table_row};
 
 fn soak(seed: u64) -> Soak {
-    Soak { seed, nodes: 8, workers: 9, length_s: 20.0, faults: 12 }
+    Soak { seed, nodes: 8, workers: 9, length_s: 20.0, faults: 12, shutdowns: 0 }
 }
 
 #[test]
@@ -30,10 +30,22 @@
     }
 }
 
+#[test]
+fn shutdowns_are_drawn_then_they_are_valid_and_the_same_for_a_seed() {
+    for seed in 0..300 {
+        let drawn = || Soak { shutdowns: 4, faults: 3, ..soak(seed) }.scenario();
+        let text = toml::to_string(&drawn()).expect("a scenario is TOML");
+        Scenario::parse(&text).unwrap_or_else(|problem| panic!("seed {seed}: {problem}"));
+        assert_eq!(text, toml::to_string(&drawn()).expect("a scenario is TOML"));
+        let stops = drawn().faults.iter().filter(|fault| fault.kind == FaultKind::NodeStopSignals).count();
+        assert_eq!(stops, 4);
+    }
+}
+
 #[test]
 fn fixed_seeds_then_the_drawn_scenarios_are_as_recorded() {
     let drawn = |seed: u64| toml::to_string(&soak(seed).scenario()).expect("a scenario is TOML");
-    let large = Soak { seed: 33, nodes: 24, workers: 24, length_s: 30.0, faults: 14 };
+    let large = Soak { seed: 33, nodes: 24, workers: 24, length_s: 30.0, faults: 14, shutdowns: 0 };
     let large = toml::to_string(&large.scenario()).expect("a scenario is TOML");
     let texts = [drawn(1), drawn(2), drawn(5), large];
     golden!("soak_scenarios.toml").assert_is(&texts.join("\n# Next seed.\n"));
