Tests bound a node's processor time where a loop could turn without waiting

A busy loop was not ruled out. Read for a loop without a wait: dispatch task and its timer (1 us at least, a due poll is always taken off the schedule), listener, eviction, drain and close, pools, watch, links, admin listener. None was found. Change: four tests bound the processor time of a node to half of 2 s: descriptors used up with nothing to evict, discovery that refuses, a drain with requests in progress, a worker that closes each connection. The crash itself was not reproduced; the guard that names a loop at run time was not built.

--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -4,6 +4,7 @@
 mod command_line;
 mod common;
 mod configuration;
+mod cpu_time;
 mod delivery;
 mod endpoint_lease;
 mod endpoint_watch;
