Names and texts in the field's terms: idle clients, accepted successors, event queues

Change: renames in the testbed and in tests; texts of the node's help, of a 503 for a callback, and of the testbed's help. No format that others read has changed but the fault's name, which is of today.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -43,8 +43,8 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Serve until SIGTERM; the same without any command. Ends with 2 if what it is told cannot be used here, as an
-    /// address that another program has, and with 1 if it fails otherwise
+    /// Serve until SIGTERM; the same without any command. Ends with 2 if its configuration cannot be used here, as
+    /// an address that another program has, and with 1 if it fails otherwise
     Serve,
     /// Read all configuration, print each value in effect and where it comes from, and end with 0, or 2 if it is bad
     Check,
--- a/crates/node/src/server/callback_handler.rs
+++ b/crates/node/src/server/callback_handler.rs
@@ -47,7 +47,7 @@
         Ok(match self.deliver_callback(report, &body).await? {
             CallbackDelivery::Settled => response::with_status(StatusCode::NO_CONTENT, ""),
             CallbackDelivery::Unsettled => {
-                response::with_status(StatusCode::SERVICE_UNAVAILABLE, "not heard; say it again\n")
+                response::with_status(StatusCode::SERVICE_UNAVAILABLE, "not handled; send it again\n")
             }
         })
     }
--- a/crates/node/src/server/shutdown.rs
+++ b/crates/node/src/server/shutdown.rs
@@ -35,7 +35,7 @@
         }
     }
 
-    /// Whether a request has begun to arrive and goes on: its client could only find out by a rejection that it
+    /// Whether a request has begun to arrive and makes progress: its client could only find out by a rejection that it
     /// is not served here.
     fn is_request_arriving(&self) -> bool {
         self.state.live_connections().iter().any(|connection| {
--- a/crates/node/tests/common/process.rs
+++ b/crates/node/tests/common/process.rs
@@ -150,9 +150,9 @@
     /// Collects the log lines of a spawned process and waits until it says where it serves.
     pub fn wait_until_serving((mut child, file): (Child, String)) -> Node {
         let lines = BufReader::new(child.stderr.take().expect("piped")).lines();
-        let (sender, log_lines) = channel();
+        let (line_queue, log_lines) = channel();
         // The pipe must not fill up where the test reads no log lines.
-        thread::spawn(move || lines.map_while(Result::ok).for_each(|line| _ = sender.send(line)));
+        thread::spawn(move || lines.map_while(Result::ok).for_each(|line| _ = line_queue.send(line)));
         // The guard exists before the first line is read, so that a process that fails to start is killed as well.
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         let mut node = Node { address, startup_lines: vec![], file, log_lines, child: Some(child) };
--- a/crates/node/tests/common/scripted_process.rs
+++ b/crates/node/tests/common/scripted_process.rs
@@ -43,12 +43,12 @@
     }
 
     /// Starts a node with this configuration as the successor of the scripted process, which hands it the listener.
-    pub fn welcome_successor(text: &str, listener: &TcpListener) -> (ScriptedProcess, Node) {
-        ScriptedProcess::welcome_successor_with(text, listener, "".into())
+    pub fn accept_successor(text: &str, listener: &TcpListener) -> (ScriptedProcess, Node) {
+        ScriptedProcess::accept_successor_with(text, listener, "".into())
     }
 
-    /// Like [`Self::welcome_successor`], with a state snapshot.
-    pub fn welcome_successor_with(
+    /// Like [`Self::accept_successor`], with a state snapshot.
+    pub fn accept_successor_with(
         text: &str,
         listener: &TcpListener,
         snapshot: Bytes,
--- a/crates/node/tests/common/scripted_server.rs
+++ b/crates/node/tests/common/scripted_server.rs
@@ -66,10 +66,10 @@
     /// Starts a server on a listener that is bound already.
     pub fn on(listener: TcpListener) -> ScriptedServer {
         let address = listener.local_addr().expect("an address");
-        let (sender, events) = channel();
+        let (event_queue, events) = channel();
         thread::spawn(move || {
             for (connection, stream) in listener.incoming().flatten().enumerate() {
-                let sender: Sender<ReceivedRequest> = sender.clone();
+                let event_queue: Sender<ReceivedRequest> = event_queue.clone();
                 thread::spawn(move || {
                     let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
                     let received = |message| ReceivedRequest {
@@ -78,11 +78,11 @@
                         stream: stream.try_clone().expect("a handle"),
                     };
                     while let Some(message) = HttpMessage::read(&mut reader) {
-                        if sender.send(received(message)).is_err() {
+                        if event_queue.send(received(message)).is_err() {
                             return;
                         }
                     }
-                    let _ = sender.send(received(HttpMessage::default()));
+                    let _ = event_queue.send(received(HttpMessage::default()));
                 });
             }
         });
--- a/crates/node/tests/migration/mod.rs
+++ b/crates/node/tests/migration/mod.rs
@@ -187,7 +187,7 @@
     let discovery = ScriptedServer::start();
     let known = [workers[1].endpoint_json("s-1", "in_service")];
     let (mut to_successor, successor) =
-        ScriptedProcess::welcome_successor(&node_config_for_handover(discovery.address, &known), &listener);
+        ScriptedProcess::accept_successor(&node_config_for_handover(discovery.address, &known), &listener);
     ScriptedWatch::open(&discovery).send_endpoints(42, true, &known);
     let (seq, asks) = to_successor.next_frame();
     assert_eq!(asks, Frame::TakeoverRequest);
--- a/crates/node/tests/versions/mod.rs
+++ b/crates/node/tests/versions/mod.rs
@@ -276,8 +276,8 @@
     let discovery = ScriptedServer::start();
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let text = node_config_for_handover(discovery.address, &workers.known());
-    let welcome = workers.replayed("older_welcome.json");
-    let (other, node) = ScriptedProcess::welcome_successor_with(&text, &listener, welcome.into());
+    let accepted = workers.replayed("older_welcome.json");
+    let (other, node) = ScriptedProcess::accept_successor_with(&text, &listener, accepted.into());
     let operators = node.operator_address();
     let mut older = RecordedExchange::new(other, ["older", "newer"], workers);
     let watch = ScriptedWatch::open(&discovery);
--- a/crates/node/tests/worker_connections/mod.rs
+++ b/crates/node/tests/worker_connections/mod.rs
@@ -361,7 +361,7 @@
         node.serve_job(client, &second, "r2", "s-1");
         second.connection != first.connection
     });
-    assert!(shown, "a job is sent on a connection to a process that is gone");
+    assert!(shown, "a job is sent over a connection to a process that has ended");
 }
 
 #[test]
--- a/crates/testbed/src/event_log.rs
+++ b/crates/testbed/src/event_log.rs
@@ -131,8 +131,7 @@
         killed: bool,
     },
     /// Idle clients fill the descriptors of a node from now on, or do so no more.
-    #[serde(rename = "crowd")]
-    ClientCrowd {
+    IdleClients {
         node: usize,
         present: bool,
     },
--- a/crates/testbed/src/faults/crowd.rs
+++ b/crates/testbed/src/faults/idle_clients.rs
@@ -1,4 +1,4 @@
-//! Crowds: idle clients that fill the descriptors of a node.
+//! Idle clients that fill the descriptors of a node.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,18 +11,18 @@
 use super::FaultInjection;
 use crate::event_log::Event;
 
-/// A client of a crowd connects again this long after the node has closed its connection.
+/// A client connects again this long after the node has closed its connection.
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
-/// What the clients of a crowd send before they are silent, in turn.
-const FIRST_BYTES: [&str; 3] = ["", "GET /ready HTTP/1.1\r\nhost: crowd\r\n\r\n", "POST /api/set-1 HT"];
+/// What the clients send before they are silent, in turn.
+const FIRST_BYTES: [&str; 3] = ["", "GET /ready HTTP/1.1\r\nhost: idle\r\n\r\n", "POST /api/set-1 HT"];
 
 impl FaultInjection<'_> {
     /// As many clients as a node has descriptors connect to each target, all at once, and stay until the end.
-    pub(super) async fn crowd_nodes(&self) {
+    pub(super) async fn connect_idle_clients(&self) {
         let mut clients = JoinSet::new();
         for node in self.targets.iter().copied() {
             let Some(address) = self.environment.address_of(node) else { continue };
-            self.environment.log.record(Event::ClientCrowd { node, present: true });
+            self.environment.log.record(Event::IdleClients { node, present: true });
             for client in 0..self.environment.scenario.nodes.descriptors {
                 clients.spawn(stay_connected(address, FIRST_BYTES[client % FIRST_BYTES.len()]));
             }
@@ -30,7 +30,7 @@
         self.wait_for_end().await;
         clients.shutdown().await;
         for node in self.targets.iter().copied() {
-            self.environment.log.record(Event::ClientCrowd { node, present: false });
+            self.environment.log.record(Event::IdleClients { node, present: false });
         }
     }
 }
--- a/crates/testbed/src/faults/mod.rs
+++ b/crates/testbed/src/faults/mod.rs
@@ -1,7 +1,7 @@
 //! Faults of a run: each begins at its time, acts on the environment, and ends after its duration.
 
-mod crowd;
 mod discovery;
+mod idle_clients;
 mod links;
 mod nodes;
 mod workers;
@@ -61,7 +61,7 @@
             FaultKind::NodeStop | FaultKind::NodeKill => self.restart_nodes().await,
             FaultKind::NodeStopSignals => self.restart_nodes_under_signals().await,
             FaultKind::ReloadSeries => self.reload_series().await,
-            FaultKind::ClientCrowd => self.crowd_nodes().await,
+            FaultKind::IdleClients => self.connect_idle_clients().await,
             FaultKind::NodePause => self.pause_nodes().await,
             FaultKind::DiscoveryLinkCut => self.impair_discovery_links(LinkImpairment::Cut).await,
             FaultKind::DiscoveryLinkRefused => self.impair_discovery_links(LinkImpairment::Refused).await,
--- a/crates/testbed/src/rules/job_rules/mod.rs
+++ b/crates/testbed/src/rules/job_rules/mod.rs
@@ -117,7 +117,7 @@
             | Event::UpgradeBegan { .. }
             | Event::SuccessorReady { .. }
             | Event::UpgradeEnded { .. }
-            | Event::ClientCrowd { .. } => self.processes.observe(at, event),
+            | Event::IdleClients { .. } => self.processes.observe(at, event),
             Event::AttemptAccepted { .. } | Event::AttemptStarted { .. } | Event::NodeReady { .. } => {}
             Event::ReadinessChanged { .. } | Event::AdminCommandEnded { .. } => {}
             Event::ConnectionsCounted { .. } | Event::Fault { .. } => {}
--- a/crates/testbed/src/rules/job_rules/process_history.rs
+++ b/crates/testbed/src/rules/job_rules/process_history.rs
@@ -41,7 +41,7 @@
     kills: Vec<Timestamp>,
     upgrades: Vec<UpgradeWindow>,
     /// When idle clients began to fill its descriptors, and when they left.
-    crowds: Vec<(Timestamp, Option<Timestamp>)>,
+    idle_client_spans: Vec<(Timestamp, Option<Timestamp>)>,
 }
 
 /// What happened to the processes of all nodes.
@@ -68,9 +68,11 @@
                     window.ready_at = Some(at);
                 }
             }
-            Event::ClientCrowd { node, present: true } => self.node_mut(*node).crowds.push((at, None)),
-            Event::ClientCrowd { node, present: false } => {
-                if let Some((_, left_at)) = self.node_mut(*node).crowds.last_mut() {
+            Event::IdleClients { node, present: true } => {
+                self.node_mut(*node).idle_client_spans.push((at, None));
+            }
+            Event::IdleClients { node, present: false } => {
+                if let Some((_, left_at)) = self.node_mut(*node).idle_client_spans.last_mut() {
                     *left_at = Some(at);
                 }
             }
@@ -138,9 +140,9 @@
         let is_crossing = matches!(reason, FailureReason::Reset | FailureReason::Closed)
             && request.attempts.is_empty()
             && at <= request.sent_at + parameters.crossing_tolerance;
-        let is_crowded = self.is_crowded(request.sent_at, parameters);
+        let has_idle_clients = self.has_idle_clients(request.sent_at, parameters);
         let closes_idle = !on_new_connection && self.is_drain_over(request.sent_at, parameters);
-        is_crossing && (is_crowded || closes_idle)
+        is_crossing && (has_idle_clients || closes_idle)
     }
 
     /// Whether the grace after SIGTERM is over at a moment, and the process has not exited before.
@@ -153,8 +155,8 @@
         })
     }
 
-    fn is_crowded(&self, at: Timestamp, parameters: &RuleParameters) -> bool {
-        self.crowds.iter().any(|(began_at, left_at)| {
+    fn has_idle_clients(&self, at: Timestamp, parameters: &RuleParameters) -> bool {
+        self.idle_client_spans.iter().any(|(began_at, left_at)| {
             *began_at <= at && left_at.is_none_or(|left_at| at <= left_at + parameters.crossing_tolerance)
         })
     }
--- a/crates/testbed/src/scenario/fault.rs
+++ b/crates/testbed/src/scenario/fault.rs
@@ -86,7 +86,7 @@
     /// A node gets SIGHUP several times in quick succession, with nothing changed.
     ReloadSeries,
     /// Idle clients connect to a node until they fill its descriptors, for `for_s`.
-    ClientCrowd,
+    IdleClients,
     /// A node is killed, and started again after `for_s`.
     NodeKill,
     /// An operator drains a node, and ends the drain after `for_s`.
@@ -127,7 +127,7 @@
             | FaultKind::NodeStop
             | FaultKind::NodeStopSignals
             | FaultKind::ReloadSeries
-            | FaultKind::ClientCrowd
+            | FaultKind::IdleClients
             | FaultKind::NodeKill
             | FaultKind::NodeDrain
             | FaultKind::Upgrade
--- a/crates/testbed/src/scenario/validation.rs
+++ b/crates/testbed/src/scenario/validation.rs
@@ -170,7 +170,7 @@
         }
         let is_called_back = matches!(
             fault.kind,
-            FaultKind::NodeDrain | FaultKind::Maintenance | FaultKind::NodePause | FaultKind::ClientCrowd
+            FaultKind::NodeDrain | FaultKind::Maintenance | FaultKind::NodePause | FaultKind::IdleClients
         );
         if is_called_back && fault.for_s.is_none() {
             return invalid("for_s", Problem::MissingDuration);
--- a/crates/testbed/src/scripted/flaw.rs
+++ b/crates/testbed/src/scripted/flaw.rs
@@ -31,13 +31,13 @@
     /// It ends by itself after some jobs.
     #[value(name = "crash")]
     Crashes,
-    /// It does not end when it is told to.
+    /// It ignores SIGTERM.
     #[value(name = "deaf-to-the-end")]
     IgnoresSigterm,
-    /// Told to end, it does so at once, with the jobs that it has.
+    /// After SIGTERM it ends at once, with the jobs that it has.
     #[value(name = "drops-its-jobs")]
     DropsJobsOnSigterm,
-    /// Told to end, it accepts nothing more, and what is in its queue is reset.
+    /// After SIGTERM it accepts nothing more, and what is in its queue is reset.
     #[value(name = "resets-its-queue")]
     ResetsAcceptQueue,
     /// As the newer process it never says that it is ready.
--- a/crates/testbed/src/stress_run/mod.rs
+++ b/crates/testbed/src/stress_run/mod.rs
@@ -30,7 +30,7 @@
     Upgrades,
     /// The same, and the older or the newer process is killed at a drawn moment
     Kills,
-    /// Every call of the second address, also wrong ones, beside callers that finish none
+    /// Every admin command, also wrong ones, beside clients that complete none
     Calls,
 }
 
--- a/crates/testbed/tests/unit/job_rules.rs
+++ b/crates/testbed/tests/unit/job_rules.rs
@@ -97,9 +97,9 @@
     };
     let sigterm = (0, Event::NodeTerminated { node: 0 });
     let exited = (1_500_000, Event::NodeExited { node: 0, killed: false });
-    let crowd = |present| (0, Event::ClientCrowd { node: 0, present });
+    let idle_clients = |present| (0, Event::IdleClients { node: 0, present });
     let cases = [
-        // Its connection was closed as it was sent; 0.8 s after its first part; as it was sent on a new connection.
+        // Its connection was closed at that moment; 0.8 s after its first part; and a new one at that moment.
         (vec![sigterm.clone(), sent(800_000, 0), failed(950_000, false), exited.clone()], false),
         (vec![sigterm.clone(), sent(800_000, 0), failed(1_600_000, false), exited.clone()], true),
         (vec![sigterm.clone(), sent(800_000, 0), failed(950_000, true), exited.clone()], true),
@@ -109,9 +109,9 @@
             true,
         ),
         // Idle clients fill the node's descriptors, or have done so.
-        (vec![crowd(true), sent(800_000, 0), failed(950_000, true)], false),
-        (vec![crowd(true), sent(800_000, 0), failed(1_600_000, true)], true),
-        (vec![crowd(true), crowd(false), sent(800_000, 0), failed(950_000, true)], true),
+        (vec![idle_clients(true), sent(800_000, 0), failed(950_000, true)], false),
+        (vec![idle_clients(true), sent(800_000, 0), failed(1_600_000, true)], true),
+        (vec![idle_clients(true), idle_clients(false), sent(800_000, 0), failed(950_000, true)], true),
     ];
     for (events, is_violation) in cases {
         let expected: &[Rule] = if is_violation { &[Rule::OneAnswer] } else { &[] };
