--- a/crates/node/src/upstream/cancellation.rs
+++ b/crates/node/src/upstream/cancellation.rs
@@ -107,6 +107,7 @@
         let mut delay = INITIAL_RETRY_DELAY;
         loop {
             if is_acknowledged(&self.send(target, &send_permit).await, connection) {
+                debug!(target: UPSTREAM, %request_id, %address, "cancellation acknowledged");
                 return;
             }
             self.metrics.add(Counter::CancellationsUnacknowledged);
