A failing soak seed prints the command that repeats it

Need: nodes, workers, length, faults and shutdowns are part of the draw; the row of a seed did not say with which it was played. Change: after the violations and crashes of a seed its command follows, with all options that are part of the draw.

--- a/crates/testbed/src/command_line/soak.rs
+++ b/crates/testbed/src/command_line/soak.rs
@@ -76,6 +76,19 @@
         let run = CheckedRun::complete(scenario.clone(), program, None, ProgressDisplay::Hidden);
         let run = fleet_runtime()?.block_on(run)?;
         print!("{}", table_row(&scenario, &run.figures, &run.violations, &run.played.crashes));
+        if !run.violations.is_empty() || !run.played.crashes.is_empty() {
+            println!("        repeat: {}", self.repeat_command(seed, node));
+        }
         Ok(run.verdict())
     }
+
+    /// The command that plays a seed again. All options that are part of the draw are in it.
+    fn repeat_command(&self, seed: u64, node: &Path) -> String {
+        let SoakOptions { nodes, workers, length, faults, shutdowns, .. } = self;
+        format!(
+            "curlewusher-testbed soak --first {seed} --seeds 1 --nodes {nodes} --workers {workers} --length {length} \
+             --faults {faults} --shutdowns {shutdowns} --node {}",
+            node.display()
+        )
+    }
 }
