A cancellation counts as acknowledged only by a response that says so

Callers saw, or could see: two attempts of one job running at once. A job that a worker has accepted and not started is cancelled there and sent elsewhere; whatever the worker answered to the DELETE was taken for the end of the attempt, also 503, 500, 429 or a redirection, after which it runs on.

Cause: is_acknowledged returned true for every response. Found by reading, then forced by a test.

Change: a 2xx, 404 or 410 acknowledges; any other status is repeated like a lost DELETE until the job's deadline. The log line says by what evidence and after how long a cancellation was acknowledged, so that a run can be explained afterwards.

Measured: withdrawals::withdrawal_is_answered_with_error_* failed on the code before ("a second attempt beside one that runs, after 503 Service Unavailable") and passes now. The node's 137 tests pass.

--- a/crates/node/src/upstream/cancellation.rs
+++ b/crates/node/src/upstream/cancellation.rs
@@ -13,8 +13,8 @@
 use bytes::Bytes;
 use curlewusher_settings::operator::UpstreamOptions;
 use http_body_util::Full;
-use hyper::Request;
 use hyper::header::HOST;
+use hyper::{Request, StatusCode};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tracing::debug;
 
@@ -104,10 +104,12 @@
         // A cancellation may be sent at any time.
         let send_permit = Rc::<SendPermit>::default();
         let _unacknowledged = UnacknowledgedGuard::new(&self.unacknowledged, target);
+        let started = Instant::now();
         let mut delay = INITIAL_RETRY_DELAY;
         loop {
-            if is_acknowledged(&self.send(target, &send_permit).await, connection) {
-                debug!(target: UPSTREAM, %request_id, %address, "cancellation acknowledged");
+            if let Some(evidence) = acknowledgement(&self.send(target, &send_permit).await, connection) {
+                let elapsed_ms = started.elapsed().as_millis();
+                debug!(target: UPSTREAM, %request_id, %address, ?evidence, elapsed_ms, "cancellation acknowledged");
                 return;
             }
             self.metrics.add(Counter::CancellationsUnacknowledged);
@@ -145,23 +147,48 @@
     }
 }
 
-/// Whether the worker does not run the job any more, or cannot be made to stop it by further cancellations.
-fn is_acknowledged(outcome: &ExchangeOutcome, connection: AttemptConnection) -> bool {
+/// What shows that a worker does not run a cancelled job any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Acknowledgement {
+    /// The worker's response to the cancellation.
+    Response(StatusCode),
+    /// The connection of the attempt was closed before a response, and later another was refused. By itself a refused
+    /// connection shows nothing: a worker with as many connections as it may have refuses others. But it came over a
+    /// network that carries the closing as well.
+    ClosedThenRefused,
+    /// The connection of the attempt was closed before a response, and later another was established, on which the
+    /// worker does not respond: it hangs, with the closing in its queue.
+    ClosedThenSilent,
+}
+
+/// What the outcome of a cancellation shows of the job, if anything.
+fn acknowledgement(outcome: &ExchangeOutcome, connection: AttemptConnection) -> Option<Acknowledgement> {
     let closed = connection == AttemptConnection::ClosedBeforeResponse;
     match outcome {
-        ExchangeOutcome::Response { .. } => true,
-        // By itself a refused connection does not show that an accepted job was cancelled: a worker with as many
-        // connections as it may have refuses others. But it came over a network that carries the closing as well.
-        ExchangeOutcome::Refused => closed,
-        ExchangeOutcome::TimedOut { connection } => closed && *connection == ConnectionOrigin::Dialled,
-        ExchangeOutcome::Unreachable
+        ExchangeOutcome::Response { status, .. } if confirms_cancellation(*status) => {
+            Some(Acknowledgement::Response(*status))
+        }
+        ExchangeOutcome::Refused if closed => Some(Acknowledgement::ClosedThenRefused),
+        ExchangeOutcome::TimedOut { connection: ConnectionOrigin::Dialled } if closed => {
+            Some(Acknowledgement::ClosedThenSilent)
+        }
+        ExchangeOutcome::Response { .. }
+        | ExchangeOutcome::Refused
+        | ExchangeOutcome::TimedOut { .. }
+        | ExchangeOutcome::Unreachable
         | ExchangeOutcome::PermitInvalid
         | ExchangeOutcome::ConnectionLost
         | ExchangeOutcome::MalformedResponse
-        | ExchangeOutcome::Cancelled { .. } => false,
+        | ExchangeOutcome::Cancelled { .. } => None,
     }
 }
 
+/// Whether a response states that the job was cancelled or is not known. With any other status the worker may not have
+/// handled the cancellation at all.
+fn confirms_cancellation(status: StatusCode) -> bool {
+    status.is_success() || matches!(status, StatusCode::NOT_FOUND | StatusCode::GONE)
+}
+
 /// Lists a cancellation as not acknowledged. Dropping it removes the entry, even if the cancellation was
 /// abandoned at its deadline: one that this process has abandoned is not handed over to another.
 struct UnacknowledgedGuard<'a> {
--- a/crates/node/tests/withdrawals/mod.rs
+++ b/crates/node/tests/withdrawals/mod.rs
@@ -1,6 +1,6 @@
 //! Withdrawals of jobs whose client has disconnected or whose deadline has passed.
 
-use crate::common::{Node, ScriptedServer, read_response};
+use crate::common::{Node, ScriptedServer, next_request_at_either, read_response};
 
 #[test]
 fn client_disconnects_while_202_is_in_transit_then_job_is_withdrawn_by_id() {
@@ -60,3 +60,26 @@
         assert_eq!(node.counter("curlewusher_delivery_attempts_given_up_total"), 1);
     }
 }
+
+#[test]
+fn withdrawal_is_answered_with_error_then_accepted_job_is_not_retried() {
+    // The worker answers, and runs on: another attempt would be a second copy.
+    for status in
+        ["503 Service Unavailable", "500 Internal Server Error", "429 Too Many Requests", "302 Found"]
+    {
+        let ([one, two], node, _watch, _discovery) = Node::start_with_two_workers();
+        let client = node.submit_job("r1", "view", 8.0);
+        let (worker, got, other) = next_request_at_either(&one, &two);
+        // It does not start, so that it is withdrawn.
+        got.accept();
+        for _ in 0..3 {
+            let (at, withdrawal, _) = next_request_at_either(&one, &two);
+            assert!(std::ptr::eq(at, worker), "a second attempt beside one that runs, after {status}");
+            assert_eq!(withdrawal.message.start_line, "DELETE /jobs/r1 HTTP/1.1");
+            withdrawal.respond(status);
+        }
+        worker.expect_withdrawal("r1").respond("204 No Content");
+        let got = other.next_request();
+        node.serve_job(client, &got, "r1", if std::ptr::eq(other, &one) { "s-1" } else { "s-2" });
+    }
+}
