What the system still holds of an attempt that is given up is discarded

Callers could see two attempts of one job running at once: the request of the first arrived whole at its worker after the second had been sent.

Cause: an attempt that was given up before its 202 was closed by an ordinary close, after which the system goes on delivering what it still holds of the request, and sends again what a cut network has swallowed. The DELETE that follows takes another connection, overtakes those bytes, and is answered 404 by a worker that has not read the request. Named by reading, then forced: two workers with a receive buffer of 4 KB, of which the first reads a request of 60 KB only after the second has taken the job.

Change: an exchange says what becomes of bytes that were not received when it ends without a response. Those of an attempt are discarded by a reset; those of a cancellation are still delivered. A worker that has the whole request in its queue sees the end of the connection behind it, as before.

Measured: withdrawals::request_is_partly_sent_at_its_withdrawal_* failed on the code before ("a second copy has arrived") and passes now; the node's 138 tests pass.

--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -25,7 +25,7 @@
 use crate::attempt::CancelSignal;
 use crate::attempt::{AttemptId, AttemptReport, AttemptReporter, AttemptRequest};
 use crate::upstream::cancellation::{AttemptConnection, CancellationTarget, Canceller};
-use crate::upstream::exchange::{Delivery, Exchange, ExchangeOutcome};
+use crate::upstream::exchange::{Delivery, Exchange, ExchangeOutcome, UnsentBytes};
 use crate::upstream::payload::RequestPayload;
 use crate::upstream::pool::ConnectionPool;
 
@@ -68,6 +68,7 @@
                     send_permit: &send_permit,
                     cancel: &mut cancel,
                     response_timeout: timeout + LATE_RESPONSE_TIMEOUT,
+                    unsent_bytes: UnsentBytes::Discard,
                 };
                 exchange.run(&self.pool).await
             }
--- a/crates/node/src/upstream/cancellation.rs
+++ b/crates/node/src/upstream/cancellation.rs
@@ -22,7 +22,7 @@
 use crate::attempt::SendPermit;
 use crate::telemetry::logging::UPSTREAM;
 use crate::telemetry::metrics::{Counter, Metrics};
-use crate::upstream::exchange::{Exchange, ExchangeOutcome};
+use crate::upstream::exchange::{Exchange, ExchangeOutcome, UnsentBytes};
 use crate::upstream::payload::UpstreamRequest;
 use crate::upstream::pool::ConnectionPool;
 use crate::upstream::pool::connection::ConnectionOrigin;
@@ -130,6 +130,7 @@
             send_permit,
             cancel,
             response_timeout,
+            unsent_bytes: UnsentBytes::Deliver,
         };
         exchange.run(&self.pool).await
     }
--- a/crates/node/src/upstream/exchange.rs
+++ b/crates/node/src/upstream/exchange.rs
@@ -43,6 +43,17 @@
     pub cancel: &'a mut CancelSignal,
     /// How long the response is waited for once there is a connection.
     pub response_timeout: Duration,
+    /// What becomes of bytes that the system still holds when the exchange ends without a response.
+    pub unsent_bytes: UnsentBytes,
+}
+
+/// What becomes of the bytes of a request that the worker's system has not received when its exchange ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnsentBytes {
+    /// The system continues to deliver them: the request may still be of use.
+    Deliver,
+    /// They are discarded, and the connection is reset: another attempt may follow, beside which this one must not arrive.
+    Discard,
 }
 
 /// Whether a request may have arrived at its worker.
@@ -117,17 +128,17 @@
                 Some(keep_connection(pool, self.address, connection, response))
             }
             SendOutcome::TimedOut => {
-                connection.close().await;
+                self.end_connection(connection).await;
                 Some(ExchangeOutcome::TimedOut { connection: origin })
             }
             SendOutcome::Cancelled => {
-                connection.close().await;
+                self.end_connection(connection).await;
                 let delivery =
                     if traffic.request_written() { Delivery::MayHaveArrived } else { Delivery::NotWritten };
                 Some(ExchangeOutcome::Cancelled { delivery })
             }
             SendOutcome::Failed(error) => {
-                connection.close().await;
+                self.end_connection(connection).await;
                 if error.is_malformed_response(&traffic) {
                     pool.record_malformed_response(self.address, &error.to_string());
                 }
@@ -136,6 +147,13 @@
         }
     }
 
+    async fn end_connection(&self, connection: Connection) {
+        match self.unsent_bytes {
+            UnsentBytes::Deliver => connection.close().await,
+            UnsentBytes::Discard => connection.reset().await,
+        }
+    }
+
     async fn obtain_connection(&mut self, pool: &ConnectionPool) -> Result<Connection, ExchangeOutcome> {
         tokio::select! {
             biased;
--- a/crates/node/src/upstream/pool/connection.rs
+++ b/crates/node/src/upstream/pool/connection.rs
@@ -188,7 +188,14 @@
         self.idle_since = Instant::now();
     }
 
-    /// Closes it, and returns once it is closed.
+    /// Resets it, and returns once it is closed: what the worker's system has not received of the request yet never
+    /// arrives.
+    pub async fn reset(self) {
+        self.traffic.discard_unsent();
+        self.close().await;
+    }
+
+    /// Closes it, and returns once it is closed. The system continues to deliver what was written.
     pub async fn close(mut self) {
         self.driver.abort();
         // An aborted task ends as cancelled; in either case its socket is closed.
--- a/crates/node/src/upstream/pool/socket.rs
+++ b/crates/node/src/upstream/pool/socket.rs
@@ -6,6 +6,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -22,6 +23,8 @@
 pub struct Traffic {
     request_written: Cell<bool>,
     response_read: Cell<bool>,
+    /// Whether the end of the connection discards what the worker's system has not received yet.
+    discards_unsent: Cell<bool>,
     /// Whether the first byte of that request may be written; `None` before the first request.
     send_permit: RefCell<Option<Rc<SendPermit>>>,
 }
@@ -44,6 +47,12 @@
         self.response_read.get()
     }
 
+    /// Has the end of the connection discard what the worker's system has not received yet. Otherwise the system
+    /// continues to deliver that.
+    pub fn discard_unsent(&self) {
+        self.discards_unsent.set(true);
+    }
+
     fn is_send_permitted(&self) -> bool {
         self.send_permit.borrow().as_ref().is_none_or(|permit| permit.is_valid())
     }
@@ -116,6 +125,15 @@
     }
 }
 
+impl Drop for Socket {
+    fn drop(&mut self) {
+        if self.traffic.discards_unsent.get() {
+            // The option fails only on a connection that has ended.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncRead for Socket {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/node/tests/withdrawals/mod.rs
+++ b/crates/node/tests/withdrawals/mod.rs
@@ -1,6 +1,14 @@
 //! Withdrawals of jobs whose client has disconnected or whose deadline has passed.
 
-use crate::common::{Node, ScriptedServer, next_request_at_either, read_response};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+
+use socket2::{Domain, Socket, Type};
+
+use crate::common::{
+    HttpMessage, Node, ScriptedServer, TEST_TIMEOUT, endpoint_json, job_request, next_request_at_either,
+    node_config, open_request, read_response, wait_until,
+};
 
 #[test]
 fn client_disconnects_while_202_is_in_transit_then_job_is_withdrawn_by_id() {
@@ -83,3 +91,61 @@
         node.serve_job(client, &got, "r1", if std::ptr::eq(other, &one) { "s-1" } else { "s-2" });
     }
 }
+
+/// A worker that reads nothing unless the test does, whose system receives only a part of a long request meanwhile.
+fn listen_with_short_receive_buffer() -> TcpListener {
+    const RECEIVE_BUFFER_BYTES: usize = 4096;
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).expect("a buffer");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a free port");
+    socket.listen(16).expect("it listens");
+    socket.set_nonblocking(true).expect("a listener");
+    socket.into()
+}
+
+/// Waits for the next connection to one of these workers; returns the worker's index with it.
+fn next_connection(workers: &[TcpListener]) -> (usize, TcpStream) {
+    let mut next = None;
+    wait_until("no connection", || {
+        let accepted = workers.iter().enumerate().find_map(|(i, worker)| Some((i, worker.accept().ok()?.0)));
+        next = accepted;
+        next.is_some()
+    });
+    let (index, stream) = next.expect("one was accepted");
+    stream.set_nonblocking(false).expect("a stream");
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a time-out");
+    (index, stream)
+}
+
+#[test]
+fn request_is_partly_sent_at_its_withdrawal_then_the_rest_never_arrives() {
+    // The system must not deliver after the retry what it still held of the first attempt: a second copy.
+    let workers = [listen_with_short_receive_buffer(), listen_with_short_receive_buffer()];
+    let names = ["s-1", "s-2"];
+    let endpoint = |(worker, name): (&TcpListener, &str)| {
+        endpoint_json(name, worker.local_addr().expect("an address"), "in_service")
+    };
+    let known: Vec<_> = workers.iter().zip(names).map(endpoint).collect();
+    let (node, _watch, _discovery) = Node::start_with_endpoints(&known, 1024, node_config);
+    let body = "x".repeat(60_000);
+    let request = job_request("r1", "view", 8.0, "").replace("Content-Length: 4", "Content-Length: 60000");
+    let client = open_request(node.address, &request.replace("body", &body));
+    let (worker, unread) = next_connection(&workers);
+    // The worker has read nothing when the job is withdrawn, and knows no such job.
+    let (at, withdrawal) = next_connection(&workers);
+    let got = HttpMessage::read(&mut BufReader::new(&withdrawal)).expect("a request");
+    assert_eq!((at, got.start_line.as_str()), (worker, "DELETE /jobs/r1 HTTP/1.1"));
+    respond(&withdrawal, "404 Not Found");
+    let (other, stream) = next_connection(&workers);
+    assert_ne!(other, worker);
+    assert_eq!(HttpMessage::read(&mut BufReader::new(&stream)).expect("a request").body, body);
+    respond(&stream, "202 Accepted");
+    // Now the worker reads the first attempt.
+    assert!(HttpMessage::read(&mut BufReader::new(&unread)).is_none(), "a second copy has arrived");
+    node.complete_job(client, "r1", names[other]);
+}
+
+fn respond(mut stream: &TcpStream, status: &str) {
+    let text = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+    stream.write_all(text.as_bytes()).expect("the node reads");
+}
