An attempt whose connection ends within its response is cancelled before a retry

Callers could see two attempts of one job running at once: a worker accepts a job, its connection breaks within the 202, and the job goes to another worker at once while the first runs it.

Found by reading, then forced.

Change: such an exchange ends as a malformed response, which is cancelled by id until that is acknowledged and then reported as lost.

--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -7,7 +7,7 @@
 //! | 503 or 504 with `X-Not-Run: 1` | no | ended: rejected |
 //! | any other 4xx or 5xx | no | ended: error |
 //! | any other status | yes | ended: error |
-//! | malformed response | yes | ended: lost |
+//! | malformed or partial response | yes | ended: lost |
 //! | refused, unreachable | no | ended: unreachable |
 //! | connection lost, timed out | no | ended: lost |
 //! | send permit invalid | no | ended: not sent |
--- a/crates/node/src/upstream/exchange.rs
+++ b/crates/node/src/upstream/exchange.rs
@@ -80,9 +80,10 @@
     Unreachable,
     /// The send permit became invalid before a byte was written.
     PermitInvalid,
-    /// The connection broke without a response; the request may have arrived.
+    /// The connection broke before a byte of a response; the request may have arrived.
     ConnectionLost,
-    /// The bytes received are no HTTP response; the connection was closed.
+    /// The bytes received are no HTTP response or a part of one; the connection was closed. The worker may have accepted
+    /// the request.
     MalformedResponse,
     /// No response in time; the connection was closed.
     TimedOut {
@@ -141,6 +142,7 @@
                 self.end_connection(connection).await;
                 if error.is_malformed_response(&traffic) {
                     pool.record_malformed_response(self.address, &error.to_string());
+                    return Some(ExchangeOutcome::MalformedResponse);
                 }
                 self.classify_failure(&error, origin)
             }
