An attempt whose loss no retry could repair takes a new connection

Cause: every attempt took an idle connection of up to 300 ms of age. Whether such a connection still leads to its worker shows only after the write.

Change: the core says with each attempt whether it needs a new connection: if its class may not be repeated, if it is the last that the settings allow, or if an earlier attempt may have run. So at most one attempt of a job, and only one that a retry can repair, meets a connection that has ended. The rule follows from the idempotency in the settings. A dial waits for a connection permit as before, for which an idle connection is closed.

Measured: delivery::workers_close_connections_at_second_request_then_job_that_ may_not_be_repeated_* failed before (the second job got no further request) and passes; so does the core's test of the rule. Tests that hold what happens on reused connections take the idempotent class now, because the other one uses none: their checks are the same, and worker_closes_idle_connection_* has both.

--- a/crates/core/src/dispatcher/sending.rs
+++ b/crates/core/src/dispatcher/sending.rs
@@ -4,6 +4,7 @@
 use crate::permission::slow_start_window;
 use crate::policy::pending_queue::{QueueContext, max_skipped_jobs, reserved_share};
 use crate::policy::placement::{Placement, PlacementRequest, RatedWorker, workers_outside_subset};
+use crate::policy::retries::needs_new_connection;
 use crate::state::{Job, QueueKey};
 use crate::{Action, Timestamp};
 
@@ -82,6 +83,7 @@
             return false;
         }
         let send_by = rules.latest_send(job);
+        let needs_new_connection = needs_new_connection(&self.settings, job);
         let window = slow_start_window(&self.settings);
         self.fleet.worker_mut(index).record_warm_up_send(now, job.load(), window);
         let attempt = self.fleet.record_send(now, &self.settings, job, &placement.estimate);
@@ -93,6 +95,7 @@
             worker: attempt.worker,
             timeout: job.deadline - now,
             send_by,
+            needs_new_connection,
         });
         true
     }
--- a/crates/core/src/interface/action.rs
+++ b/crates/core/src/interface/action.rs
@@ -17,6 +17,9 @@
         /// The first byte must be written before this moment, else the attempt ends with
         /// [`Outcome::NotSent`](crate::Outcome::NotSent). None: only the timeout applies.
         send_by: Option<Timestamp>,
+        /// Send it over a new connection: one that was idle may have ended unnoticed, and the loss of this attempt could
+        /// not be repaired by a retry.
+        needs_new_connection: bool,
     },
     /// End the job without a result; it has not run, so the client may safely retry.
     Reject {
--- a/crates/core/src/policy/retries.rs
+++ b/crates/core/src/policy/retries.rs
@@ -1,9 +1,9 @@
 //! Retries: which jobs may run again, and what follows an attempt that does not start.
 
 use super::placement::{Placement, PlacementRequest, PlacementTier, cost};
-use crate::permission::SendRules;
+use crate::permission::{SendRules, max_attempts};
 use crate::state::{Fleet, Job, Worker};
-use crate::{Settings, TimeSpan, Timestamp};
+use crate::{Idempotency, Settings, TimeSpan, Timestamp};
 
 /// A job whose start is this late may be relocated: reports of starts arrive sooner than that.
 const RELOCATION_DELAY: TimeSpan = TimeSpan::from_millis(150);
@@ -13,6 +13,14 @@
     rules.fleet.workers().iter().any(|worker| rules.may_send(now, worker, job).is_ok())
 }
 
+/// Whether the next attempt of a job needs a new connection: one that was idle may have ended unnoticed, and an attempt
+/// written to it is lost. So only an attempt whose loss may be repaired by a retry takes an idle one, and one of each job.
+pub(crate) fn needs_new_connection(settings: &Settings, job: &Job) -> bool {
+    let is_non_idempotent = settings.classes[job.class].idempotency == Idempotency::NonIdempotent;
+    let is_last = job.attempt_count() + 1 >= max_attempts(settings);
+    is_non_idempotent || is_last || job.first_possible_run().is_some()
+}
+
 /// Finds an attempt to cancel because its worker does not accept it, if another worker may run the
 /// job. If none may, the job waits on, since the worker may only be slow.
 pub(crate) fn find_unaccepted_attempt(now: Timestamp, rules: &SendRules, job: &Job) -> Option<u32> {
--- a/crates/core/tests/decisions/retries.rs
+++ b/crates/core/tests/decisions/retries.rs
@@ -90,3 +90,31 @@
         node.end(job, 1, Outcome::Done);
     }
 }
+
+/// Whether each attempt that the actions send needs a new connection.
+fn new_connections(actions: &[Action]) -> Vec<bool> {
+    let needs_new_connection = |action: &Action| match action {
+        Action::SendAttempt { needs_new_connection, .. } => Some(*needs_new_connection),
+        _ => None,
+    };
+    actions.iter().filter_map(needs_new_connection).collect()
+}
+
+#[test]
+fn loss_of_an_attempt_could_not_be_repaired_then_it_needs_a_new_connection() {
+    // An idle connection may have ended unnoticed. A job that is lost on one is not lost on another.
+    let (idempotent, with_key, non_idempotent) = (0, 1, 2);
+    for (class, is_first_bound) in [(idempotent, false), (with_key, false), (non_idempotent, true)] {
+        let mut node = TestNode::new(settings(), &endpoints(4));
+        assert_eq!(new_connections(&node.submit(1, class, 0.1)), [is_first_bound], "class {class}");
+        // It never ran: its next attempt is as the first.
+        assert_eq!(new_connections(&node.end(1, 0, Outcome::Rejected)), [is_first_bound], "class {class}");
+        if class != non_idempotent {
+            assert_eq!(new_connections(&node.submit(2, class, 0.1)), [false], "class {class}");
+            assert_eq!(new_connections(&node.end(2, 0, Outcome::Lost)), [true], "class {class}");
+        }
+    }
+    // Settings that allow no retry make each attempt the last.
+    let mut node = TestNode::new(Settings { max_attempts: 1, ..settings() }, &endpoints(2));
+    assert_eq!(new_connections(&node.submit(1, idempotent, 0.1)), [true]);
+}
--- a/crates/core/tests/rules/checker.rs
+++ b/crates/core/tests/rules/checker.rs
@@ -94,7 +94,7 @@
 
     pub fn check(&mut self, now: Timestamp, action: &Action) -> Checked {
         match action {
-            Action::SendAttempt { job, worker, timeout, send_by } => {
+            Action::SendAttempt { job, worker, timeout, send_by, .. } => {
                 let endpoint = self.endpoints.get(worker).cloned().ok_or(Violation::UnavailableWorker)?;
                 self.check_in_time(*job, now + *timeout)?;
                 self.check_send(now, &self.jobs[job], &endpoint, *send_by)?;
--- a/crates/core/tests/rules/main.rs
+++ b/crates/core/tests/rules/main.rs
@@ -39,7 +39,13 @@
 }
 
 fn send_by(worker: u64, send_by: Option<Timestamp>) -> Action {
-    Action::SendAttempt { job: JobId(1), worker: WorkerId(worker), timeout: SECOND, send_by }
+    Action::SendAttempt {
+        job: JobId(1),
+        worker: WorkerId(worker),
+        timeout: SECOND,
+        send_by,
+        needs_new_connection: false,
+    }
 }
 
 fn send(worker: u64) -> Action {
--- a/crates/node/src/attempt/interface.rs
+++ b/crates/node/src/attempt/interface.rs
@@ -33,6 +33,8 @@
     pub payload: Rc<P>,
     /// The time that is left for the attempt.
     pub timeout: Duration,
+    /// Whether it must be sent over a new connection: its loss over one that has ended unnoticed could not be repaired.
+    pub needs_new_connection: bool,
     /// Receives a value where the attempt is to be cancelled. Once the sending half is dropped, the attempt
     /// has ended and only its connection is left to be cleaned up.
     pub cancel: oneshot::Receiver<()>,
--- a/crates/node/src/dispatch/task/actions.rs
+++ b/crates/node/src/dispatch/task/actions.rs
@@ -23,6 +23,7 @@
     timeout: TimeSpan,
     /// The first byte may be written until then; None where only the timeout bounds it.
     send_by: Option<Timestamp>,
+    needs_new_connection: bool,
 }
 
 /// Whether an attempt was passed to the transport.
@@ -53,8 +54,8 @@
         let mut not_sent = Vec::new();
         for action in std::mem::take(&mut self.actions) {
             match action {
-                Action::SendAttempt { job, worker, timeout, send_by } => {
-                    let spec = AttemptSpec { job, worker, timeout, send_by };
+                Action::SendAttempt { job, worker, timeout, send_by, needs_new_connection } => {
+                    let spec = AttemptSpec { job, worker, timeout, send_by, needs_new_connection };
                     if let SendResult::NotSent(id) = self.send_attempt(&spec) {
                         not_sent.push(id);
                     }
@@ -116,6 +117,7 @@
             address: worker.address,
             payload,
             timeout: spec.timeout.into(),
+            needs_new_connection: spec.needs_new_connection,
             cancel,
             send_permit,
         });
--- a/crates/node/src/dispatch/task/job_migration.rs
+++ b/crates/node/src/dispatch/task/job_migration.rs
@@ -177,6 +177,7 @@
                 address,
                 payload: Rc::clone(job.payload),
                 timeout: expires_at.saturating_since(job.now).into(),
+                needs_new_connection: false,
                 cancel: cancel_receiver,
                 send_permit: Rc::clone(&send_permit),
             });
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -27,7 +27,7 @@
 use crate::upstream::cancellation::{AttemptConnection, CancellationTarget, Canceller};
 use crate::upstream::exchange::{Delivery, Exchange, ExchangeOutcome, UnsentBytes};
 use crate::upstream::payload::RequestPayload;
-use crate::upstream::pool::ConnectionPool;
+use crate::upstream::pool::{ConnectionChoice, ConnectionPool};
 
 /// How long the response is waited for after the end of an attempt, to keep its connection.
 const LATE_RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -56,7 +56,9 @@
     /// Makes an attempt.
     pub async fn run(&self, request: AttemptRequest<RequestPayload>) {
         let _in_flight = self.in_flight.token();
-        let AttemptRequest { id, request_id, address, payload, timeout, cancel, send_permit } = request;
+        let AttemptRequest { id, request_id, address, payload, timeout, cancel, send_permit, .. } = request;
+        let connection_choice =
+            if request.needs_new_connection { ConnectionChoice::New } else { ConnectionChoice::Any };
         let attempt = Attempt { id, request_id, address, deadline: Instant::now() + timeout };
         let mut cancel = CancelSignal::from(cancel);
         let outcome = match payload.to_request(address) {
@@ -64,6 +66,7 @@
                 let exchange = Exchange {
                     address,
                     request,
+                    connection_choice,
                     client_deadline: Some(attempt.deadline),
                     send_permit: &send_permit,
                     cancel: &mut cancel,
--- a/crates/node/src/upstream/cancellation.rs
+++ b/crates/node/src/upstream/cancellation.rs
@@ -24,8 +24,8 @@
 use crate::telemetry::metrics::{Counter, Metrics};
 use crate::upstream::exchange::{Exchange, ExchangeOutcome, UnsentBytes};
 use crate::upstream::payload::UpstreamRequest;
-use crate::upstream::pool::ConnectionPool;
 use crate::upstream::pool::connection::ConnectionOrigin;
+use crate::upstream::pool::{ConnectionChoice, ConnectionPool};
 
 /// The first pause before a cancellation that was not acknowledged is sent again, doubled each time up to
 /// [`MAX_RETRY_DELAY`].
@@ -126,6 +126,7 @@
         let exchange = Exchange {
             address: target.address,
             request,
+            connection_choice: ConnectionChoice::Any,
             client_deadline: None,
             send_permit,
             cancel,
--- a/crates/node/src/upstream/exchange.rs
+++ b/crates/node/src/upstream/exchange.rs
@@ -17,8 +17,8 @@
 use crate::attempt::CancelSignal;
 use crate::attempt::SendPermit;
 use crate::upstream::payload::{UpstreamRequest, set_time_left};
-use crate::upstream::pool::ConnectionPool;
 use crate::upstream::pool::connection::{ConnectError, Connection, ConnectionOrigin, RequestError};
+use crate::upstream::pool::{ConnectionChoice, ConnectionPool};
 
 /// In a rejection: `1` if the worker has not run the job and never will.
 const X_NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
@@ -33,6 +33,8 @@
     pub address: SocketAddr,
     /// The request.
     pub request: UpstreamRequest,
+    /// Which connections may carry it.
+    pub connection_choice: ConnectionChoice,
     /// When the client stops waiting, which the request states as the time that is left when it is sent. None: the
     /// request states nothing.
     pub client_deadline: Option<Instant>,
@@ -162,7 +164,7 @@
             () = self.cancel.received() => Err(ExchangeOutcome::Cancelled { delivery: Delivery::NotWritten }),
             // Ends a dial that is under way, which returns its connection permit.
             () = self.send_permit.invalidated() => Err(ExchangeOutcome::PermitInvalid),
-            connection = pool.obtain(self.address) => connection.map_err(|error| match error {
+            connection = pool.obtain(self.address, self.connection_choice) => connection.map_err(|error| match error {
                 ConnectError::Refused(_) => ExchangeOutcome::Refused,
                 ConnectError::Unreachable(_) => ExchangeOutcome::Unreachable,
             }),
--- a/crates/node/src/upstream/pool/mod.rs
+++ b/crates/node/src/upstream/pool/mod.rs
@@ -44,6 +44,16 @@
 /// How often idle connections are checked for expiry.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Which connections may carry a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionChoice {
+    /// An idle one, or else a new one.
+    Any,
+    /// Only a new one. An idle one may have ended without showing it; and a worker may read from it before it accepts
+    /// connections that were made earlier.
+    New,
+}
+
 /// The connections to all workers.
 pub struct ConnectionPool {
     metrics: Metrics,
@@ -90,9 +100,20 @@
         }
     }
 
-    /// A connection for one request: an idle one that has cooled down, or a new one. Cancel-safe: an idle
-    /// connection that was reserved is idle again.
-    pub async fn obtain(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
+    /// A connection for one request: an idle one that has cooled down, if `choice` allows it, or a new one. Cancel-safe:
+    /// an idle connection that was reserved is idle again.
+    pub async fn obtain(
+        &self,
+        address: SocketAddr,
+        choice: ConnectionChoice,
+    ) -> Result<Connection, ConnectError> {
+        match choice {
+            ConnectionChoice::Any => self.obtain_any(address).await,
+            ConnectionChoice::New => self.dial(address).await,
+        }
+    }
+
+    async fn obtain_any(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
         while let Some(connection) = self.take_idle(address) {
             // No other request can reserve it meanwhile; a request that finds no idle connection dials.
             let reserved = ReservedConnection { pool: self, address, connection: Some(connection) };
--- a/crates/node/tests/delivery/mod.rs
+++ b/crates/node/tests/delivery/mod.rs
@@ -1,5 +1,7 @@
 //! Delivery of jobs to workers: what a worker receives, callbacks, reused connections and retries.
 
+use std::collections::HashSet;
+
 use crate::common::{Node, ScriptedServer, job_request, next_request_at_either, open_request, read_response};
 
 #[test]
@@ -67,13 +69,13 @@
 #[test]
 fn worker_closes_idle_connection_then_no_attempt_is_lost() {
     let (worker, node, _watch, _discovery) = Node::start_with_worker();
-    for id in ["r1", "r2"] {
-        let client = node.submit_job(id, "order", 5.0);
+    for (id, class) in [("r1", "order"), ("r2", "order"), ("r3", "view"), ("r4", "view")] {
+        let client = node.submit_job(id, class, 5.0);
         let got = worker.next_request();
         node.serve_job(client, &got, id, "s-1");
         got.close();
     }
-    assert_eq!(node.counter("curlewusher_delivery_attempts_total"), 2);
+    assert_eq!(node.counter("curlewusher_delivery_attempts_total"), 4);
 }
 
 #[test]
@@ -141,3 +143,32 @@
     node.post_callback("r1", "s-1", r#""state":"returned""#);
     node.complete_job(client, "r1", "s-2");
 }
+
+/// Has jobs of a class served by two workers that serve the first request on each connection and close it as the second
+/// comes, one after another. Returns how often a job came as a second request.
+fn count_requests_on_stale_connections(class: &str) -> usize {
+    const JOBS: usize = 30;
+    let ([one, two], node, watch, discovery) = Node::start_with_two_workers();
+    let _heartbeats = watch.keep_alive(discovery);
+    let mut used = HashSet::new();
+    let mut stale_requests = 0;
+    for job in 0..JOBS {
+        let id = format!("r{job}");
+        let client = node.submit_job(&id, class, 9.0);
+        let (worker, got) = loop {
+            let (worker, got, _) = next_request_at_either(&one, &two);
+            if used.insert((worker.address, got.connection)) {
+                break (worker, got);
+            }
+            stale_requests += 1;
+            got.close();
+        };
+        node.serve_job(client, &got, &id, if std::ptr::eq(worker, &one) { "s-1" } else { "s-2" });
+    }
+    stale_requests
+}
+
+#[test]
+fn workers_close_connections_at_second_request_then_job_that_may_not_be_repeated_is_not_lost() {
+    assert_eq!(count_requests_on_stale_connections("order"), 0);
+}
--- a/crates/node/tests/send_permits/mod.rs
+++ b/crates/node/tests/send_permits/mod.rs
@@ -153,7 +153,7 @@
     let _heartbeats = ScriptedWatch::answer(&discovery, &known).keep_alive(discovery);
     let mut callbacks = connect_known_client(&node);
     let first = node.submit_job("r1", "order", 600.0);
-    let second = node.submit_job("r2", "order", 600.0);
+    let second = node.submit_job("r2", "view", 600.0);
     wait_for_counter(&node, "curlewusher_jobs_taken_total", 2);
     // The connection is idle from the 202 on, so that r2 needs no new one; the end of r1 frees the worker for r2.
     worker.next_request().accept();
--- a/crates/node/tests/worker_connections/mod.rs
+++ b/crates/node/tests/worker_connections/mod.rs
@@ -155,9 +155,9 @@
     // next job was written before it, the test was too slow and shows nothing.
     let shown = (0..20).any(|_| {
         let (worker, node, _watch, _discovery) = Node::start_with_worker();
-        let (client, first) = submit_to(&node, &worker, "r1", "order", 8.0);
+        let (client, first) = submit_to(&node, &worker, "r1", "view", 8.0);
         node.serve_job(client, &first, "r1", "s-1");
-        let client = node.submit_job("r2", "order", 8.0);
+        let client = node.submit_job("r2", "view", 8.0);
         wait_for_counter(&node, "curlewusher_jobs_taken_total", 2);
         node.signal("-STOP");
         if worker.try_next_request().is_some() {
@@ -180,11 +180,11 @@
 #[test]
 fn second_response_follows_the_first_then_connection_is_closed() {
     let (worker, node, _watch, _discovery) = Node::start_with_worker();
-    let (client, first) = submit_to(&node, &worker, "r1", "order", 8.0);
+    let (client, first) = submit_to(&node, &worker, "r1", "view", 8.0);
     let accepted = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
     first.write_raw(&format!("{accepted}HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n\r\n"));
     node.complete_job(client, "r1", "s-1");
-    let (client, got) = submit_to(&node, &worker, "r2", "order", 8.0);
+    let (client, got) = submit_to(&node, &worker, "r2", "view", 8.0);
     assert_ne!(got.connection, first.connection);
     node.serve_job(client, &got, "r2", "s-1");
     assert_eq!((node.counter(ATTEMPTS), node.counter(SPOILT)), (2, 1));
@@ -305,13 +305,13 @@
 fn worker_restarts_while_response_is_read_then_its_connection_is_not_reused() {
     let worker = ScriptedServer::start();
     let (node, watch, known) = start_with_lasting_connections(&worker);
-    let (client, got) = submit_to(&node, &worker, "r1", "order", 8.0);
+    let (client, got) = submit_to(&node, &worker, "r1", "view", 8.0);
     // While its response is still being read, the worker restarts.
     got.write_raw("HTTP/1.1 202 Accepted\r\nContent-Length: 4\r\n\r\n");
     wait_for_counter(&node, "curlewusher_delivery_attempts_accepted_total", 1);
     node.complete_job(client, "r1", "s-1");
     watch.send_endpoints_and_wait(43, false, &[restarted(&known)], &node);
-    let (client, second) = submit_to(&node, &worker, "r2", "order", 8.0);
+    let (client, second) = submit_to(&node, &worker, "r2", "view", 8.0);
     assert_ne!(second.connection, got.connection);
     node.serve_job(client, &second, "r2", "s-1");
     got.write_raw("late");
@@ -372,9 +372,9 @@
     let shown = (0..20).any(|_| {
         let worker = ScriptedServer::start();
         let (node, watch, known) = start_with_lasting_connections(&worker);
-        let (client, first) = submit_to(&node, &worker, "r1", "order", 8.0);
+        let (client, first) = submit_to(&node, &worker, "r1", "view", 8.0);
         node.serve_job(client, &first, "r1", "s-1");
-        let client = node.submit_job("r2", "order", 8.0);
+        let client = node.submit_job("r2", "view", 8.0);
         wait_for_counter(&node, "curlewusher_jobs_taken_total", 2);
         watch.send_endpoints(43, false, &[restarted(&known)]);
         let second = worker.next_request();
@@ -392,18 +392,18 @@
         let worker = ScriptedServer::start();
         let (node, _watch, _known) = start_with_lasting_connections(&worker);
         // Two connections, since the answer on the first one is not at its end, which then rest.
-        let (client, first) = submit_to(&node, &worker, "r1", "order", 8.0);
+        let (client, first) = submit_to(&node, &worker, "r1", "view", 8.0);
         first.write_raw("HTTP/1.1 202 Accepted\r\nContent-Length: 4\r\n\r\n");
         node.complete_job(client, "r1", "s-1");
-        let (client, second) = submit_to(&node, &worker, "r2", "order", 8.0);
+        let (client, second) = submit_to(&node, &worker, "r2", "view", 8.0);
         node.complete_job(client, "r2", "s-1");
         first.write_raw("late");
         second.accept();
-        let client = node.submit_job("r3", "order", 8.0);
+        let client = node.submit_job("r3", "view", 8.0);
         wait_for_counter(&node, ATTEMPTS, 3);
         drop(client);
         wait_for_counter(&node, "curlewusher_clients_gone_total", 1);
-        let client = node.submit_job("r4", "order", 8.0);
+        let client = node.submit_job("r4", "view", 8.0);
         let got = worker.next_request();
         if got.message.header("x-request-id") != Some("r4") {
             return false;
@@ -411,7 +411,7 @@
         got.write_raw("HTTP/1.1 202 Accepted\r\nContent-Length: 4\r\n\r\n");
         node.complete_job(client, "r4", "s-1");
         // The same holds for that one: the next job finds it idle while the response to the last one is unfinished.
-        let (client, got) = submit_to(&node, &worker, "r5", "order", 8.0);
+        let (client, got) = submit_to(&node, &worker, "r5", "view", 8.0);
         node.serve_job(client, &got, "r5", "s-1");
         node.counter("curlewusher_next_hop_connections_total") == 2
     });
--- a/crates/simulator-adapter/src/instance.rs
+++ b/crates/simulator-adapter/src/instance.rs
@@ -177,9 +177,7 @@
     /// Writes one action as a line. Nothing is written for jobs that were removed and workers that were never listed.
     fn write_action(&mut self, action: Action, out: &mut String) -> fmt::Result {
         match action {
-            Action::SendAttempt { job, worker, timeout, send_by: _ } => {
-                self.write_attempt(job, worker, timeout, out)
-            }
+            Action::SendAttempt { job, worker, timeout, .. } => self.write_attempt(job, worker, timeout, out),
             Action::Reject { job, retry_after } => {
                 if let Some(name) = self.jobs.name(job) {
                     writeln!(out, "shed corr={name} waitUs={}", retry_after.as_micros())?;
