A retry after the loss of a stale connection is not charged to the retry budget

Cause: the retry budget (10, and 0.1 for each job) was used up, since about half of the requests met a connection that its worker resets.

Change: the transport reports the loss of an attempt over a reused connection that broke before a byte of a response, and the core charges its retry to nothing. There is at most one for each job, since the next attempt takes a new connection, and it adds no work. Other retries are charged as before.

The decision lock is unchanged.

--- a/crates/core/src/dispatcher/attempt_lifecycle.rs
+++ b/crates/core/src/dispatcher/attempt_lifecycle.rs
@@ -3,6 +3,7 @@
 use super::Dispatcher;
 use super::job_lifecycle::cancellations;
 use crate::policy::ejection::{EndAssessment, assess_end, ejection_time};
+use crate::policy::retries::RetryCharge;
 use crate::state::{AttemptId, EndedAttempt};
 use crate::{Outcome, Timestamp};
 
@@ -25,6 +26,13 @@
         }
     }
 
+    /// The connection of an attempt had ended while it was idle.
+    pub(super) fn record_stale_connection(&mut self, id: AttemptId) {
+        if let Some(index) = self.worker_index_of(id) {
+            self.fleet.worker_mut(index).record_stale_connection(id);
+        }
+    }
+
     /// A worker has started to run an attempt.
     pub(super) fn handle_start(&mut self, now: Timestamp, id: AttemptId) {
         self.record_acceptance(now, id);
@@ -63,15 +71,17 @@
         let AttemptEnd { attempt: id, outcome, settled } = end;
         let was_held_back = outcome == Outcome::NotSent && self.is_revoked(id);
         let is_first_report = self.jobs.record_outcome(id, outcome);
-        if is_first_report && let Some(ended) = self.remove_ended(id, outcome) {
-            self.assess_worker(now, &ended);
+        let ended = is_first_report.then(|| self.remove_ended(id, outcome)).flatten();
+        if let Some(ended) = &ended {
+            self.assess_worker(now, ended);
         }
         if !is_first_report && !settled {
             return;
         }
         let is_requeued = was_held_back && !settled && self.requeue_unsent_job(now, id.job);
         if !is_requeued {
-            self.follow_up(now, id.job, settled);
+            let charge = ended.as_ref().map_or(RetryCharge::Budget, RetryCharge::after);
+            self.follow_up(now, id.job, settled, charge);
         }
     }
 
--- a/crates/core/src/dispatcher/job_lifecycle.rs
+++ b/crates/core/src/dispatcher/job_lifecycle.rs
@@ -4,7 +4,7 @@
 use crate::permission::{answer_unserved, redirect};
 use crate::policy::admission::{self, AdmissionDecision};
 use crate::policy::pending_queue::queue_key;
-use crate::policy::retries::may_be_retried;
+use crate::policy::retries::{RetryCharge, may_be_retried};
 use crate::policy::unsent_attempts::is_as_submitted;
 use crate::state::Job;
 use crate::{Action, JobId, JobSubmission, Settings, Timestamp};
@@ -49,15 +49,18 @@
 
     /// Carries out what follows the end of an attempt: the job is over, retried, or answered unserved. `settled`: its
     /// client has its answer.
-    pub(super) fn follow_up(&mut self, now: Timestamp, id: JobId, settled: bool) {
+    pub(super) fn follow_up(&mut self, now: Timestamp, id: JobId, settled: bool, charge: RetryCharge) {
         let Some(mut job) = self.jobs.take(id) else { return };
         if settled && !job.is_answered() {
             self.close_job(&mut job);
         }
         if !job.is_answered() && job.is_idle() {
             // Retries are bounded: when much fails, more attempts would only add to the load.
-            if self.budgets.allow_retry() && may_be_retried(now, &self.send_rules(), &job) {
-                self.budgets.spend_retry();
+            let is_affordable = charge == RetryCharge::None || self.budgets.allow_retry();
+            if is_affordable && may_be_retried(now, &self.send_rules(), &job) {
+                if charge == RetryCharge::Budget {
+                    self.budgets.spend_retry();
+                }
                 self.enqueue_job(job);
                 self.dispatch_pending(now);
                 return;
--- a/crates/core/src/dispatcher/mod.rs
+++ b/crates/core/src/dispatcher/mod.rs
@@ -136,6 +136,9 @@
             Event::AttemptStreaming { job, attempt } => {
                 self.handle_stream(now, AttemptId { job, number: attempt });
             }
+            Event::ReusedConnectionLost { job, attempt } => {
+                self.record_stale_connection(AttemptId { job, number: attempt });
+            }
             Event::AttemptEnded { job, attempt, outcome, settled } => {
                 let attempt = AttemptId { job, number: attempt };
                 self.handle_end(now, AttemptEnd { attempt, outcome, settled });
--- a/crates/core/src/interface/event.rs
+++ b/crates/core/src/interface/event.rs
@@ -66,6 +66,14 @@
         /// Number of the attempt.
         attempt: u32,
     },
+    /// The reused connection of an attempt broke before a byte of a response: it is likely to have ended while it was
+    /// idle. The end of the attempt follows, and then says nothing of its worker.
+    ReusedConnectionLost {
+        /// Job of the attempt.
+        job: JobId,
+        /// Number of the attempt.
+        attempt: u32,
+    },
     /// An attempt has ended.
     AttemptEnded {
         /// Job of the attempt.
--- a/crates/core/src/policy/retries.rs
+++ b/crates/core/src/policy/retries.rs
@@ -2,12 +2,28 @@
 
 use super::placement::{Placement, PlacementRequest, PlacementTier, cost};
 use crate::permission::{SendRules, max_attempts};
-use crate::state::{Fleet, Job, Worker};
+use crate::state::{EndedAttempt, Fleet, Job, Worker};
 use crate::{Idempotency, Settings, TimeSpan, Timestamp};
 
 /// A job whose start is this late may be relocated: reports of starts arrive sooner than that.
 const RELOCATION_DELAY: TimeSpan = TimeSpan::from_millis(150);
 
+/// What a retry is charged to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RetryCharge {
+    /// The budget of all retries.
+    Budget,
+    /// Nothing: it adds no work. Each job has at most one such retry, see [`needs_new_connection`].
+    None,
+}
+
+impl RetryCharge {
+    /// What the retry after this end is charged to.
+    pub fn after(ended: &EndedAttempt) -> Self {
+        if ended.is_lost_with_stale_connection() { RetryCharge::None } else { RetryCharge::Budget }
+    }
+}
+
 /// Whether any worker may take a job whose attempts have all ended.
 pub(crate) fn may_be_retried(now: Timestamp, rules: &SendRules, job: &Job) -> bool {
     rules.fleet.workers().iter().any(|worker| rules.may_send(now, worker, job).is_ok())
--- a/crates/core/src/state/attempts.rs
+++ b/crates/core/src/state/attempts.rs
@@ -23,6 +23,13 @@
     pub outcome: Outcome,
 }
 
+impl EndedAttempt {
+    /// Whether it was lost with a connection that had ended while it was idle.
+    pub fn is_lost_with_stale_connection(&self) -> bool {
+        self.outcome == Outcome::Lost && self.attempt.on_stale_connection
+    }
+}
+
 impl Fleet {
     /// Records an attempt that is being sent, at the worker of the estimate. Returns the job's own record of it.
     pub fn record_send(
@@ -46,6 +53,7 @@
             sent_at: now,
             accepted: false,
             revoked: false,
+            on_stale_connection: false,
             predicted_wait: estimate.wait,
             // Workers that do not report starts are assumed to start as predicted.
             started_at: (!settings.reports_start).then_some(predicted_start),
--- a/crates/core/src/state/in_flight.rs
+++ b/crates/core/src/state/in_flight.rs
@@ -24,6 +24,8 @@
     pub accepted: bool,
     /// Its revocation was requested, which is done once.
     pub revoked: bool,
+    /// It was written to a connection that had ended while it was idle.
+    pub on_stale_connection: bool,
     /// Wait that was predicted when it was sent, in seconds.
     pub predicted_wait: f64,
     /// When it started to run.
--- a/crates/core/src/state/migration.rs
+++ b/crates/core/src/state/migration.rs
@@ -194,6 +194,7 @@
             sent_at: sent_at.min(now),
             accepted: self.accepted,
             revoked: false,
+            on_stale_connection: false,
             predicted_wait: bounded_seconds(self.predicted_wait).unwrap_or(0.0),
             started_at: self.started_at.map(|moment| moment.min(now)),
             progress: self.progress.map(|progress| progress.restore(now)),
--- a/crates/core/src/state/worker.rs
+++ b/crates/core/src/state/worker.rs
@@ -341,6 +341,13 @@
         }
     }
 
+    /// Records that an attempt was written to a connection that had ended while it was idle.
+    pub fn record_stale_connection(&mut self, id: AttemptId) {
+        if let Some(attempt) = self.attempt_mut(id) {
+            attempt.on_stale_connection = true;
+        }
+    }
+
     /// Records progress: `share` of the attempt is done.
     pub fn record_progress(&mut self, now: Timestamp, id: AttemptId, share: f64) {
         if let Some(attempt) = self.attempt_mut(id) {
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -227,6 +227,12 @@
         self.handle(Event::AttemptEnded { job: JobId(job), attempt, outcome, settled })
     }
 
+    /// The reused connection of a first attempt breaks before a response.
+    pub fn lose_reused_connection(&mut self, job: u64) -> Vec<Action> {
+        self.handle(Event::ReusedConnectionLost { job: JobId(job), attempt: 0 });
+        self.end(job, 0, Outcome::Lost)
+    }
+
     pub fn end_after(&mut self, span: TimeSpan, job: u64, attempt: u32, outcome: Outcome) -> Vec<Action> {
         self.now += span;
         self.end(job, attempt, outcome)
--- a/crates/core/tests/decisions/retries.rs
+++ b/crates/core/tests/decisions/retries.rs
@@ -118,3 +118,16 @@
     let mut node = TestNode::new(Settings { max_attempts: 1, ..settings() }, &endpoints(2));
     assert_eq!(new_connections(&node.submit(1, idempotent, 0.1)), [true]);
 }
+
+#[test]
+fn reused_connections_are_lost_then_their_retries_do_not_use_up_the_retry_budget() {
+    // Far more than the budget allows: each job has one such retry, over a new connection.
+    let mut node = TestNode::new(settings(), &endpoints(4));
+    for job in 0..60 {
+        let first = node.place(job, 0, 0.01).expect("a free worker");
+        let retried = node.lose_reused_connection(job);
+        assert!(sent_to(&retried).is_some_and(|second| second != first), "job {job}: {retried:?}");
+        node.end(job, 1, Outcome::Done);
+        node.advance(seconds(1));
+    }
+}
--- a/crates/node/src/attempt/interface.rs
+++ b/crates/node/src/attempt/interface.rs
@@ -44,7 +44,7 @@
 }
 
 /// What the transport reports on an attempt: either `Accepted`, followed by `Cancelled` or nothing; or
-/// `Cancelled`; or `Ended`.
+/// `Cancelled`; or `Ended`; or `LostWithReusedConnection`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptReport {
     /// The worker has accepted the attempt.
@@ -53,6 +53,9 @@
     Ended(AttemptId, Outcome),
     /// The attempt was to be cancelled and has been cancelled.
     Cancelled(AttemptId),
+    /// The attempt has ended as lost: its connection, which had carried an earlier request, broke before a byte of a
+    /// response.
+    LostWithReusedConnection(AttemptId),
 }
 
 /// The future of a report; see [`AttemptReporter::report`].
--- a/crates/node/src/dispatch/task/attempt_lifecycle.rs
+++ b/crates/node/src/dispatch/task/attempt_lifecycle.rs
@@ -20,6 +20,10 @@
             AttemptReport::Accepted(id) => self.handle_attempt_accepted(id),
             AttemptReport::Ended(id, outcome) => self.end_attempt(id, outcome),
             AttemptReport::Cancelled(id) => self.handle_attempt_cancelled(id),
+            AttemptReport::LostWithReusedConnection(id) => {
+                self.apply_event(Event::ReusedConnectionLost { job: id.job, attempt: id.number });
+                self.end_attempt(id, Outcome::Lost);
+            }
         }
     }
 
--- a/crates/node/src/upstream/attempt.rs
+++ b/crates/node/src/upstream/attempt.rs
@@ -9,7 +9,7 @@
 //! | any other status | yes | ended: error |
 //! | malformed or partial response | yes | ended: lost |
 //! | refused, unreachable | no | ended: unreachable |
-//! | connection lost, timed out | no | ended: lost |
+//! | connection lost, timed out | no | ended: lost; with a reused connection: `LostWithReusedConnection` |
 //! | send permit invalid | no | ended: not sent |
 //! | cancelled by the dispatch task | if a byte was written | `Cancelled` |
 
@@ -27,6 +27,7 @@
 use crate::upstream::cancellation::{AttemptConnection, CancellationTarget, Canceller};
 use crate::upstream::exchange::{Delivery, Exchange, ExchangeOutcome, UnsentBytes};
 use crate::upstream::payload::RequestPayload;
+use crate::upstream::pool::connection::ConnectionOrigin;
 use crate::upstream::pool::{ConnectionChoice, ConnectionPool};
 
 /// How long the response is waited for after the end of an attempt, to keep its connection.
@@ -121,7 +122,11 @@
                 self.discard_connections(attempt);
                 Outcome::Unreachable
             }
-            ExchangeOutcome::ConnectionLost | ExchangeOutcome::TimedOut { .. } => {
+            ExchangeOutcome::ConnectionLost { connection: ConnectionOrigin::Reused } => {
+                self.discard_connections(attempt);
+                return self.reporter.report(AttemptReport::LostWithReusedConnection(attempt.id)).await;
+            }
+            ExchangeOutcome::ConnectionLost { .. } | ExchangeOutcome::TimedOut { .. } => {
                 self.discard_connections(attempt);
                 Outcome::Lost
             }
--- a/crates/node/src/upstream/cancellation.rs
+++ b/crates/node/src/upstream/cancellation.rs
@@ -179,7 +179,7 @@
         | ExchangeOutcome::TimedOut { .. }
         | ExchangeOutcome::Unreachable
         | ExchangeOutcome::PermitInvalid
-        | ExchangeOutcome::ConnectionLost
+        | ExchangeOutcome::ConnectionLost { .. }
         | ExchangeOutcome::MalformedResponse
         | ExchangeOutcome::Cancelled { .. } => None,
     }
--- a/crates/node/src/upstream/exchange.rs
+++ b/crates/node/src/upstream/exchange.rs
@@ -83,7 +83,10 @@
     /// The send permit became invalid before a byte was written.
     PermitInvalid,
     /// The connection broke before a byte of a response; the request may have arrived.
-    ConnectionLost,
+    ConnectionLost {
+        /// Origin of the connection.
+        connection: ConnectionOrigin,
+    },
     /// The bytes received are no HTTP response or a part of one; the connection was closed. The worker may have accepted
     /// the request.
     MalformedResponse,
@@ -216,7 +219,7 @@
                 Some(ExchangeOutcome::Unreachable)
             }
             RequestError::NothingWritten(_) => None,
-            RequestError::ConnectionLost(_) => Some(ExchangeOutcome::ConnectionLost),
+            RequestError::ConnectionLost(_) => Some(ExchangeOutcome::ConnectionLost { connection }),
             RequestError::MalformedResponse(_) => Some(ExchangeOutcome::MalformedResponse),
         }
     }
--- a/crates/node/tests/delivery/mod.rs
+++ b/crates/node/tests/delivery/mod.rs
@@ -172,3 +172,9 @@
 fn workers_close_connections_at_second_request_then_job_that_may_not_be_repeated_is_not_lost() {
     assert_eq!(count_requests_on_stale_connections("order"), 0);
 }
+
+#[test]
+fn workers_close_connections_at_second_request_then_job_that_may_be_repeated_is_served() {
+    // Idle connections are still used for these; a connection that ends at the write says nothing of its worker.
+    assert!(count_requests_on_stale_connections("view") > 0);
+}
