The loss of a stale connection does not eject its worker

Callers saw late answers, and fewer of them: a worker whose kept connection broke at the write was ejected for 0.1 s, doubled with each such loss in a row, and then got one idempotent job at a time until one was served.

Cause: assess_end counted every lost attempt as a failure of its worker. A connection that had been idle and breaks before a byte of a response says how the worker keeps connections, not whether it can run jobs; a dead worker shows at the next dial, which is refused.

Change: such an end is inconclusive. The worker's other idle connections are discarded as before, so that the next attempt there dials.

The decision lock is unchanged: it has no such loss.

--- a/crates/core/src/policy/ejection.rs
+++ b/crates/core/src/policy/ejection.rs
@@ -32,6 +32,7 @@
     let attempt = &ended.attempt;
     match ended.outcome {
         Outcome::Done => EndAssessment::Success,
+        Outcome::Lost if ended.is_lost_with_stale_connection() => EndAssessment::Inconclusive,
         // A broken connection alone does not show a restart, so a warm worker stays warm.
         Outcome::Unreachable => EndAssessment::ConnectFailure,
         Outcome::Error | Outcome::Rejected | Outcome::Lost => EndAssessment::Failure,
