--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -5,6 +5,7 @@
 //! | --- | --- |
 //! | `estimators` | decaying sum, averages, token bucket, estimates of speed and work |
 //! | `worker`, `job`, `in_flight` | the records of a worker, a job, and an attempt in flight |
+//! | `worker_events` | updates of a worker's record |
 //! | `fleet`, `jobs` | all workers together; all jobs and the queue |
 //! | `endpoints`, `subset` | which workers take new work, and which of them this node uses |
 //! | `affinity` | which workers are likely to hold what a key stands for |
@@ -31,6 +32,7 @@
 mod subset;
 mod untrusted;
 mod worker;
+mod worker_events;
 
 pub(crate) use attempts::EndedAttempt;
 pub(crate) use budgets::{AdmissionState, Budgets};
--- /dev/null
+++ b/crates/core/src/state/worker_events.rs
@@ -0,0 +1,140 @@
+//! What happens at a worker, as its record takes it in.
+
+use super::in_flight::{InFlightAttempt, Progress};
+use super::job::AttemptId;
+use super::worker::{EXCESS_WAIT_SPAN, MAX_WORKER_KEYS, PeerBacklog, WarmUpSend, Worker, WorkerHealth};
+use crate::Timestamp;
+
+impl Worker {
+    /// Records the key of a job that is sent there.
+    pub fn record_key(&mut self, key: u64) {
+        self.recent_keys.retain(|known| *known != key);
+        self.recent_keys.push_front(key);
+        self.recent_keys.truncate(MAX_WORKER_KEYS);
+    }
+
+    /// Marks its estimates as outdated, since something has happened there.
+    pub fn invalidate_estimates(&mut self) {
+        self.estimates.derived_at = Timestamp::ORIGIN;
+    }
+
+    /// Records a sign that it can be reached.
+    pub fn record_contact(&mut self, now: Timestamp) {
+        self.invalidate_estimates();
+        if self.health.unreachable {
+            // It may have restarted and be warming up long before the list shows that.
+            self.health.unreachable = false;
+            self.started_at = self.started_at.max(now);
+        }
+    }
+
+    /// Records that this node's work there was gossiped.
+    pub fn record_gossiped(&mut self, now: Timestamp) {
+        (self.gossip_pending, self.gossiped_at) = (false, now);
+    }
+
+    /// Replaces what another node reported of its own work there.
+    pub fn record_peer_backlog(&mut self, backlog: PeerBacklog) {
+        self.peer_backlogs.retain(|known| known.node != backlog.node);
+        if backlog.slots > 0.0 {
+            self.peer_backlogs.push(backlog);
+        }
+    }
+
+    /// Records a failure, for which it is ejected.
+    pub fn record_failure(&mut self, ejected_until: Timestamp) {
+        self.health.ejected_until = ejected_until;
+        self.health.consecutive_failures += 1;
+    }
+
+    /// Records that no connection could be made.
+    pub fn record_unreachable(&mut self) {
+        self.health.unreachable = true;
+    }
+
+    /// Records that it has accepted an attempt. Any other report on the attempt implies that.
+    pub fn record_acceptance(&mut self, now: Timestamp, id: AttemptId) {
+        if let Some(attempt) = self.attempt_mut(id).filter(|attempt| !attempt.accepted) {
+            attempt.accepted = true;
+            self.record_contact(now);
+        }
+    }
+
+    /// Records that an attempt was written to a connection that had ended while it was idle.
+    pub fn record_stale_connection(&mut self, id: AttemptId) {
+        if let Some(attempt) = self.attempt_mut(id) {
+            attempt.on_stale_connection = true;
+        }
+    }
+
+    /// Records progress: `share` of the attempt is done.
+    pub fn record_progress(&mut self, now: Timestamp, id: AttemptId, share: f64) {
+        if let Some(attempt) = self.attempt_mut(id) {
+            attempt.progress = Some(Progress { share: share.clamp(0.0, 1.0), at: now });
+        }
+        self.record_contact(now);
+    }
+
+    /// Records the start of an attempt. Returns by how many seconds it was later than predicted; none if the start
+    /// was known before.
+    pub fn record_start(&mut self, now: Timestamp, id: AttemptId) -> Option<f64> {
+        let known_excess = self.excess_wait.get(now, EXCESS_WAIT_SPAN);
+        let attempt = self.attempt_mut(id).filter(|attempt| !attempt.has_started())?;
+        attempt.started_at = Some(now);
+        let delay = attempt.start_delay(now).max(0.0);
+        self.excess_wait.set(now, (known_excess + delay) / 2.0);
+        self.record_contact(now);
+        Some(delay)
+    }
+
+    /// Records work that is being sent while it may be warming up. Sends of more than `window` seconds ago are
+    /// forgotten.
+    pub fn record_warm_up_send(&mut self, now: Timestamp, work: f64, window: f64) {
+        self.warm_up_sends.retain(|send| now.seconds_since(send.at) < window);
+        if self.estimates.warm_up_fraction < 1.0 {
+            self.warm_up_sends.push_back(WarmUpSend { at: now, work });
+        }
+    }
+
+    /// Records that operators have enabled it again after they disabled it at `disabled_at`. They usually restart it
+    /// meanwhile, and the list is late: unless the list shows a start since then, it is assumed to start now.
+    pub fn reenable(&mut self, disabled_at: Timestamp, now: Timestamp) {
+        if self.started_at < disabled_at || self.started_at == Timestamp::ORIGIN {
+            self.started_at = now;
+        }
+        self.health = WorkerHealth::default();
+        self.reenabled_at = Some(now);
+        self.invalidate_estimates();
+    }
+
+    /// Marks its attempts that it has not accepted as revoked, since they may not have been sent yet. Returns
+    /// those that were not marked before.
+    pub fn revoke_unaccepted(&mut self) -> impl Iterator<Item = AttemptId> {
+        self.in_flight.iter_mut().filter(|attempt| !attempt.accepted && !attempt.revoked).map(|attempt| {
+            attempt.revoked = true;
+            attempt.id()
+        })
+    }
+
+    /// Takes over an attempt of another process of this node, for a job with that key.
+    pub fn adopt_attempt(&mut self, attempt: InFlightAttempt, key: Option<u64>) {
+        if let Some(key) = key {
+            self.record_key(key);
+        }
+        self.in_flight.push(attempt);
+        self.gossip_pending = true;
+        self.invalidate_estimates();
+    }
+
+    /// Removes an attempt that has ended.
+    pub fn remove_attempt(&mut self, id: AttemptId) -> Option<InFlightAttempt> {
+        let index = self.in_flight.iter().position(|known| known.id() == id)?;
+        self.gossip_pending = true;
+        self.invalidate_estimates();
+        Some(self.in_flight.remove(index))
+    }
+
+    fn attempt_mut(&mut self, id: AttemptId) -> Option<&mut InFlightAttempt> {
+        self.in_flight.iter_mut().find(|known| known.id() == id)
+    }
+}
--- a/crates/node/src/server/listener.rs
+++ b/crates/node/src/server/listener.rs
@@ -16,6 +16,7 @@
 
 use super::Server;
 use super::connection::{AbortReason, Connection, ConnectionState, WRITE_TIMEOUT};
+use super::listener_mode::ListenerMode;
 use super::service::serve_connection;
 use super::state::ServerState;
 use crate::connection_budget::ConnectionPermit;
@@ -44,19 +45,6 @@
     Shared,
 }
 
-/// What a process does with the connections that wait at its listener.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListenerMode {
-    /// It leaves them for the other process of the node.
-    Paused,
-    /// It accepts them.
-    Accepting,
-    /// It accepts those that wait now, and closes the listener.
-    AcceptingRest,
-    /// It has closed the listener, or is about to.
-    Closed,
-}
-
 impl Server {
     /// Opens the listening socket.
     pub fn listen(address: SocketAddr, sharing: PortSharing) -> io::Result<std::net::TcpListener> {
--- a/crates/node/src/server/mod.rs
+++ b/crates/node/src/server/mod.rs
@@ -7,7 +7,7 @@
 //!
 //! | module | job |
 //! | --- | --- |
-//! | [`listener`] | accepts connections within the budget, closes idle ones, evicts |
+//! | [`listener`], [`listener_mode`] | accepts connections within the budget, closes idle ones, evicts |
 //! | [`connection`] | state of one connection, read filter, lingering close |
 //! | [`service`] | runs HTTP on a connection and routes its requests |
 //! | [`request`], [`request_body`], [`error`], [`response`] | parsing of requests, building of responses |
@@ -22,6 +22,7 @@
 mod error;
 mod job_handler;
 mod listener;
+mod listener_mode;
 mod migration;
 mod migration_record;
 mod open_job;
@@ -39,8 +40,8 @@
 
 use crate::dispatch::DispatchMessage;
 
-use listener::ListenerMode;
 pub use listener::PortSharing;
+use listener_mode::ListenerMode;
 pub use state::ServerParts;
 
 use state::ServerState;
--- a/crates/node/src/server/state.rs
+++ b/crates/node/src/server/state.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use super::connection::Connection;
-use super::listener::ListenerMode;
+use super::listener_mode::ListenerMode;
 use super::request::JobCatalog;
 use super::response::{self, HttpResponse};
 use crate::connection_budget::ConnectionBudget;
