Two runs of the testbed do not share a folder: they broke OneEffect by mixing

Cause: the folder of each test had a fixed name. Evidence: a smoke run in which one job of node 0 arrives three times within 40 ms, 1.39 attempts for each request; and three copies at a load of 4, without any other process, of which 6 and 7 of 9 failed.

Change: a run claims its folder by a locked file; another run in it ends with code 2 and says what to do. The lab tests' folder has the id of their process; their checks are as they were.

The new test failed with the claim taken out.

--- a/crates/testbed/src/checked_run.rs
+++ b/crates/testbed/src/checked_run.rs
@@ -10,6 +10,7 @@
 use crate::play::{FinishedRun, PlayError, ProgressDisplay, play};
 use crate::report::{self, Figures};
 use crate::rules::{self, Violation};
+use crate::run_folder::{RunFolder, RunFolderError};
 use crate::scenario::Scenario;
 use crate::stress_run::StressRun;
 
@@ -43,10 +44,13 @@
     /// It could not begin.
     #[error(transparent)]
     Play(#[from] PlayError),
-    /// A file or folder of the report could not be written.
+    /// Its folder cannot be used.
+    #[error(transparent)]
+    Folder(#[from] RunFolderError),
+    /// A file of the report could not be written.
     #[error("{}: {source}", file.display())]
     Write {
-        /// The file or folder.
+        /// The file.
         file: PathBuf,
         /// What the system reports.
         source: io::Error,
@@ -70,8 +74,7 @@
         display: ProgressDisplay,
     ) -> Result<CheckedRun, RunError> {
         let folder = program.folder.clone();
-        std::fs::create_dir_all(&folder)
-            .map_err(|source| RunError::Write { file: folder.clone(), source })?;
+        let _claim = RunFolder::claim(&folder)?;
         let played = play(scenario.clone(), program, stress, display).await?;
         let violations = check(&scenario, &played);
         let figures = report::compute_figures(&scenario, &played, &violations);
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -20,6 +20,7 @@
 mod proxy;
 mod report;
 mod rules;
+mod run_folder;
 mod sampling;
 mod scenario;
 mod scripted;
--- a/crates/testbed/tests/lab.rs
+++ b/crates/testbed/tests/lab.rs
@@ -3,12 +3,19 @@
 
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
-use std::sync::{Condvar, Mutex};
+use std::sync::{Condvar, LazyLock, Mutex};
 
 const SMOKE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios/smoke.toml");
 
+/// A folder of this process: other copies of these tests may run beside it.
+static FOLDER: LazyLock<PathBuf> = LazyLock::new(|| {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("lab-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+});
+
 fn folder(name: &str) -> PathBuf {
-    Path::new(env!("CARGO_TARGET_TMPDIR")).join(name)
+    FOLDER.join(name)
 }
 
 /// Limits how many testbeds run at once to the number of cores. Each simulates a fleet in real time beside real processes;
@@ -350,3 +357,15 @@
     assert!(out.status.code() == Some(2) && printed.contains("node 0 ended before it served"), "{printed}");
     assert!(printed.contains("no valid configuration"), "{printed}");
 }
+
+#[test]
+fn another_run_has_the_folder_then_the_run_does_not_begin() {
+    // Two runs in one folder would mix their nodes, whose attempts then count as second copies.
+    let taken = folder("taken");
+    std::fs::create_dir_all(&taken).expect("a folder");
+    let lock = std::fs::File::create(taken.join("run.lock")).expect("a file");
+    lock.lock().expect("nobody else has it");
+    let out = run(SMOKE, "taken", &[]);
+    assert_eq!(out.status.code(), Some(2), "{out:?}");
+    assert!(text(&out.stderr).contains("another run has this folder"), "{out:?}");
+}
