Comments of the new code in the field's terms

Change: comments and one assertion's text say duplicate and "does not count against"; no code and no check changed.

--- a/crates/core/src/interface/event.rs
+++ b/crates/core/src/interface/event.rs
@@ -67,7 +67,7 @@
         attempt: u32,
     },
     /// The reused connection of an attempt broke before a byte of a response: it is likely to have ended while it was
-    /// idle. The end of the attempt follows, and then says nothing of its worker.
+    /// idle. The end of the attempt follows, and does not count against its worker.
     ReusedConnectionLost {
         /// Job of the attempt.
         job: JobId,
--- a/crates/core/tests/decisions/ejection.rs
+++ b/crates/core/tests/decisions/ejection.rs
@@ -106,7 +106,7 @@
 
 #[test]
 fn reused_connection_is_lost_then_its_worker_is_not_ejected() {
-    // The connection had ended while it was idle, which says nothing of the worker.
+    // The connection had ended while it was idle, which does not count against the worker.
     for (is_reused, next) in [(true, Some(0)), (false, None)] {
         let mut node = TestNode::new(settings(), &endpoints(1));
         assert_eq!(node.place(1, 0, 0.01), Some(0));
--- a/crates/node/tests/delivery/mod.rs
+++ b/crates/node/tests/delivery/mod.rs
@@ -175,6 +175,6 @@
 
 #[test]
 fn workers_close_connections_at_second_request_then_job_that_may_be_repeated_is_served() {
-    // Idle connections are still used for these; a connection that ends at the write says nothing of its worker.
+    // Idle connections are still used for these; the end of one at the write does not count against its worker.
     assert!(count_requests_on_stale_connections("view") > 0);
 }
--- a/crates/node/tests/withdrawals/mod.rs
+++ b/crates/node/tests/withdrawals/mod.rs
@@ -71,7 +71,7 @@
 
 #[test]
 fn withdrawal_is_answered_with_error_then_accepted_job_is_not_retried() {
-    // The worker answers, and runs on: another attempt would be a second copy.
+    // The worker answers, and runs on: another attempt would duplicate it.
     for status in
         ["503 Service Unavailable", "500 Internal Server Error", "429 Too Many Requests", "302 Found"]
     {
@@ -119,7 +119,7 @@
 
 #[test]
 fn request_is_partly_sent_at_its_withdrawal_then_the_rest_never_arrives() {
-    // The system must not deliver after the retry what it still held of the first attempt: a second copy.
+    // The system must not deliver after the retry what it still held of the first attempt, as a duplicate of it.
     let workers = [listen_with_short_receive_buffer(), listen_with_short_receive_buffer()];
     let names = ["s-1", "s-2"];
     let endpoint = |(worker, name): (&TcpListener, &str)| {
@@ -141,7 +141,7 @@
     assert_eq!(HttpMessage::read(&mut BufReader::new(&stream)).expect("a request").body, body);
     respond(&stream, "202 Accepted");
     // Now the worker reads the first attempt.
-    assert!(HttpMessage::read(&mut BufReader::new(&unread)).is_none(), "a second copy has arrived");
+    assert!(HttpMessage::read(&mut BufReader::new(&unread)).is_none(), "a duplicate attempt has arrived");
     node.complete_job(client, "r1", names[other]);
 }
 
--- a/crates/testbed/src/run_folder.rs
+++ b/crates/testbed/src/run_folder.rs
@@ -29,7 +29,7 @@
 }
 
 /// A folder that belongs to one run until this is dropped. Nodes of two runs that share a folder read each other's
-/// configurations, and their attempts count as second copies.
+/// configurations, and their attempts count as duplicates.
 pub struct RunFolder {
     /// The system unlocks the file as it is closed.
     _lock: File,
--- a/crates/testbed/tests/lab.rs
+++ b/crates/testbed/tests/lab.rs
@@ -7,7 +7,7 @@
 
 const SMOKE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios/smoke.toml");
 
-/// A folder of this process: other copies of these tests may run beside it.
+/// A folder of this process: other processes of these tests may run beside it.
 static FOLDER: LazyLock<PathBuf> = LazyLock::new(|| {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("lab-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a folder");
@@ -360,7 +360,7 @@
 
 #[test]
 fn another_run_has_the_folder_then_the_run_does_not_begin() {
-    // Two runs in one folder would mix their nodes, whose attempts then count as second copies.
+    // Two runs in one folder would mix their nodes, whose attempts then count as duplicates.
     let taken = folder("taken");
     std::fs::create_dir_all(&taken).expect("a folder");
     let lock = std::fs::File::create(taken.join("run.lock")).expect("a file");
