--- a/review/standins/kit.rs
+++ b/review/standins/kit.rs
@@ -32,10 +32,20 @@
 /// Temporary folders that are to be removed with this program.
 static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
 
+/// Sends a signal by the shell's `kill`.
+fn send_signal(name: &str, id: u32) {
+    let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {id}")).stderr(Stdio::null()).status();
+}
+
 /// Ends all processes that were started, removes the temporary folders and ends this program.
 pub fn finish(status: i32) -> ! {
     for id in PROCESSES.lock().unwrap().drain(..) {
-        let _ = Command::new("/bin/kill").arg("-KILL").arg(id.to_string()).stderr(Stdio::null()).status();
+        // A process that has ended was waited for, and its id may belong to another program.
+        let command = std::fs::read_to_string(format!("/proc/{id}/cmdline")).unwrap_or_default();
+        if !command.contains("curlewusher") {
+            continue;
+        }
+        send_signal("KILL", id);
     }
     thread::sleep(millis(50));
     for folder in FOLDERS.lock().unwrap().drain(..) {
@@ -581,7 +591,7 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("/bin/kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        send_signal(name, self.child.id());
     }
 
     /// Figure of `/proc/PID/status` in kB.
