Bound the memory of a body by its length, whatever its pieces

Callers saw resets. Cause: BodyExt::collect keeps every frame as it came, and a frame keeps hyper's whole read buffer alive. Each piece cost some 2.7 kB whatever its length; the limit of 64 KiB counted bytes. Callbacks and workers' responses were read in the same way. Change: http_body.rs is the one reader of bodies. It copies or drops each piece before it reads the next, so that hyper reuses its buffer. The head of a worker's response is limited to 16 KiB, as a client's (hyper's default: 417 kB).

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -16,6 +16,7 @@
 mod discovery;
 mod dispatch;
 mod handover;
+mod http_body;
 mod lifecycle;
 mod runtime;
 mod server;
--- a/crates/node/src/server/request_body.rs
+++ b/crates/node/src/server/request_body.rs
@@ -4,12 +4,12 @@
 
 use bytes::Bytes;
 use curlewusher_core::permission::READ_TIMEOUT;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use tokio::time::timeout;
 
 use super::connection::{Connection, ConnectionState};
 use super::error::RequestError;
+use crate::http_body::{BodyError, read_to_end};
 
 /// Maximum size of a body, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 10;
@@ -23,13 +23,13 @@
         return Err(RequestError::BodyTooLarge);
     }
     let time_left = (READ_TIMEOUT - RESPONSE_MARGIN).saturating_sub(connection.request_age());
-    match timeout(time_left, Limited::new(incoming, MAX_BODY_BYTES).collect()).await {
+    match timeout(time_left, read_to_end(incoming, MAX_BODY_BYTES)).await {
         Ok(Ok(body)) => {
             connection.enter(ConnectionState::Busy);
-            Ok(body.to_bytes())
+            Ok(body)
         }
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RequestError::BodyTooLarge),
-        Ok(Err(error)) => Err(RequestError::UnreadableBody(error)),
+        Ok(Err(BodyError::TooLong { .. })) => Err(RequestError::BodyTooLarge),
+        Ok(Err(BodyError::Unreadable(error))) => Err(RequestError::UnreadableBody(error)),
         Err(_) => Err(RequestError::BodyTimedOut),
     }
 }
--- a/crates/node/src/server/response.rs
+++ b/crates/node/src/server/response.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::header::{ALLOW, CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use tokio::io::AsyncWriteExt;
@@ -12,6 +12,7 @@
 
 use super::error::RequestError;
 use crate::dispatch::JobResponse;
+use crate::http_body::read_to_end;
 use crate::lifecycle::Phase;
 
 /// Media type of the metrics.
@@ -87,8 +88,7 @@
 /// response on that connection.
 pub async fn write_last_response(stream: &mut TcpStream, response: HttpResponse) -> io::Result<()> {
     let (parts, body) = response.into_parts();
-    let Ok(body) = body.collect().await;
-    let body = body.to_bytes();
+    let body = read_to_end(body, usize::MAX).await.map_err(io::Error::other)?;
     let mut message = Vec::new();
     write!(message, "HTTP/1.1 {}\r\n", parts.status)?;
     for (name, value) in &parts.headers {
--- a/crates/node/src/upstream/pool/connection.rs
+++ b/crates/node/src/upstream/pool/connection.rs
@@ -32,6 +32,9 @@
 /// job is accepted, or has not run, although the worker has never received that job.
 pub const REUSE_DELAY: Duration = Duration::from_millis(30);
 
+/// Maximum size of the head of a response, in bytes. hyper's read buffer has the same limit.
+const MAX_RESPONSE_HEAD_BYTES: usize = 16 << 10;
+
 /// Reason for which a connection was not established.
 #[derive(Debug, thiserror::Error)]
 pub enum ConnectError {
@@ -111,8 +114,11 @@
         stream.set_nodelay(true)?;
         let socket_state = Rc::<SocketState>::default();
         let socket = Socket::new(stream, socket_state.clone(), metrics.clone());
-        let (requests, connection) =
-            http1::handshake(TokioIo::new(socket)).await.map_err(io::Error::other)?;
+        let (requests, connection) = http1::Builder::new()
+            .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
+            .handshake(TokioIo::new(socket))
+            .await
+            .map_err(io::Error::other)?;
         let driver = spawn_local(drive(connection, address, metrics));
         let idle_since = Instant::now();
         Ok(Connection {
--- a/crates/node/src/upstream/pool/mod.rs
+++ b/crates/node/src/upstream/pool/mod.rs
@@ -23,13 +23,13 @@
 use std::time::Duration;
 
 use curlewusher_control::takeover::DescriptorShare;
-use http_body_util::{BodyExt, Limited};
 use hyper::Response;
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tracing::{debug, trace};
 
 use crate::connection_budget::ConnectionPermit;
+use crate::http_body::{self, BodyError};
 use crate::telemetry::logging::UPSTREAM;
 use crate::telemetry::metrics::{Counter, Metrics};
 use crate::upstream::config::UpstreamConfig;
@@ -197,7 +197,7 @@
         mut connection: Connection,
         response: Response<Incoming>,
     ) {
-        if let Err(error) = read_to_end(response).await {
+        if let Err(error) = discard_body(response).await {
             self.record_malformed_response(address, &error.to_string());
             return connection.close().await;
         }
@@ -223,17 +223,16 @@
 enum ResponseBodyError {
     /// The body is malformed or longer than [`MAX_RESPONSE_BODY_BYTES`].
     #[error(transparent)]
-    Body(Box<dyn std::error::Error + Send + Sync>),
+    Body(#[from] BodyError),
     /// The body took longer than [`RESPONSE_END_TIMEOUT`].
     #[error("the body did not end in time")]
     TimedOut,
 }
 
-async fn read_to_end(response: Response<Incoming>) -> Result<(), ResponseBodyError> {
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BODY_BYTES).collect();
-    match timeout(RESPONSE_END_TIMEOUT, body).await {
-        Ok(Ok(_)) => Ok(()),
-        Ok(Err(error)) => Err(ResponseBodyError::Body(error)),
+async fn discard_body(response: Response<Incoming>) -> Result<(), ResponseBodyError> {
+    let discarded = http_body::discard(response.into_body(), MAX_RESPONSE_BODY_BYTES);
+    match timeout(RESPONSE_END_TIMEOUT, discarded).await {
+        Ok(result) => result.map_err(ResponseBodyError::Body),
         Err(_) => Err(ResponseBodyError::TimedOut),
     }
 }
--- a/crates/node/tests/common/process.rs
+++ b/crates/node/tests/common/process.rs
@@ -271,6 +271,14 @@
         self.child.as_ref().expect("the process is not running").id()
     }
 
+    /// Returns the peak memory of the process, in kB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid()))
+            .expect("the process is not running");
+        let peak_kb = status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.strip_suffix("kB"));
+        peak_kb.and_then(|kb| kb.trim().parse().ok()).expect("the status has no valid peak memory")
+    }
+
     /// Returns the exit status if the process has exited. Does not wait.
     pub fn try_exit_status(&mut self) -> Option<ExitStatus> {
         self.child
--- a/crates/node/tests/common/scripted_server.rs
+++ b/crates/node/tests/common/scripted_server.rs
@@ -71,6 +71,7 @@
         let (event_queue, events) = channel();
         thread::spawn(move || {
             for (connection, stream) in listener.incoming().flatten().enumerate() {
+                stream.set_nodelay(true).expect("setting TCP_NODELAY failed");
                 let event_queue: Sender<ReceivedRequest> = event_queue.clone();
                 thread::spawn(move || {
                     let mut reader =
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -10,6 +10,7 @@
 mod endpoint_lease;
 mod endpoint_watch;
 mod job_requests;
+mod memory;
 mod migration;
 mod operation;
 mod outputs;
--- a/crates/node/tests/scale/mod.rs
+++ b/crates/node/tests/scale/mod.rs
@@ -185,12 +185,7 @@
         }
         assert!(!draining.has_pending_request(), "a job was sent to the draining worker");
         assert_eq!(node.counter("curlewusher_transport_map_failures_total"), 0);
-        // Peak memory of the node's process, in kB.
-        let status =
-            std::fs::read_to_string(format!("/proc/{}/status", node.pid())).expect("the node is not running");
-        let peak_kb = status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.strip_suffix("kB"));
-        let peak_kb: u64 =
-            peak_kb.and_then(|kb| kb.trim().parse().ok()).expect("the status has no valid peak memory");
+        let peak_kb = node.peak_memory_kb();
         assert!(peak_kb < 32 << 10, "the node used {peak_kb} kB");
     }
 }
