--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -2,6 +2,10 @@
 //! entry point.
 
 #![forbid(unsafe_code)]
+#![allow(
+    clippy::disallowed_methods,
+    reason = "the simulated peers are no part of a node, and have no memory limit"
+)]
 
 mod admin_command;
 mod checked_run;
