Close the link of an upgrade only at the end of a process

Cause: a full outbound queue (6 MiB), a stalled write, a migration without an answer in 2 s and a takeover without one in 1 s counted as the end of the peer and closed the link while both processes ran; a lost link lets a superseded process serve again. The log shows phase retired, peer link stalled, peer lost, phase ready within 20 ms. Change: nothing but the end of a process closes a link (invariant in handover/link). Requests wait for capacity, the reader waits for the takeover task, migrations and the takeover wait for the response or the end of the peer, an unreadable frame leaves the link open, a dropped descriptor keeps its place. At most 8 jobs migrate at a time. A starting process waits while another one starts or is busy, in place of serving alone. The model of the takeover checks that no two processes serve.

--- a/crates/control/src/takeover/state_machine.rs
+++ b/crates/control/src/takeover/state_machine.rs
@@ -3,7 +3,8 @@
 //! The successor connects to the predecessor with a hello, obtains its own endpoint list, and then requests
 //! the takeover. Once the takeover is granted, the successor accepts the new connections of the node and the
 //! predecessor finishes its jobs. A successor that terminates before the predecessor exits hands the node
-//! back. A process that loses its link continues alone.
+//! back. A process that loses its link continues alone: the peer has exited or given up the node, since a
+//! process closes its link only then.
 //!
 //! The state consists of a [`Role`] and three flags: whether the process has its own endpoint list, whether
 //! its phase has left `Starting`, and whether it is shutting down (SD in the table). An event without a row
@@ -72,7 +73,7 @@
     TakeoverGranted,
     /// The successor, which had taken over, terminates and requests a rollback: this process serves again.
     HandedBack,
-    /// The link to the peer is lost.
+    /// The link to the peer is lost, because the peer has exited or given up the node.
     LinkLost,
     /// SIGTERM has arrived.
     Terminate,
--- a/crates/control/tests/takeover/main.rs
+++ b/crates/control/tests/takeover/main.rs
@@ -15,7 +15,8 @@
     #![proptest_config(ProptestConfig::with_cases(4000))]
 
     /// Invariants under any sequence of events, with delayed messages, lost links, and killed and terminating
-    /// processes. If a process can serve, one serves or is about to serve. No two processes own the same job
+    /// processes. If a process can serve, one serves or is about to serve, and no two serve at once unless their
+    /// link was lost while both ran. No two processes own the same job
     /// id by granted claims. All processes together stay within the descriptors of one node. Phases follow
     /// their transition table.
     #[test]
--- a/crates/control/tests/takeover/network.rs
+++ b/crates/control/tests/takeover/network.rs
@@ -101,7 +101,7 @@
     /// Index of the process that listens for successors at the node's rendezvous.
     rendezvous: Option<usize>,
     /// Whether a link between two running processes was lost or never established, so that neither can detect
-    /// the other.
+    /// the other. The node excludes the former: a process closes its link only when it gives up the node.
     partitioned: bool,
 }
 
@@ -327,6 +327,8 @@
             used_shares <= 2 || self.partitioned,
             "{used_shares} half shares of the descriptors are in use: {self:#?}"
         );
+        let serving = self.alive_processes().filter(|process| process.serves()).count();
+        prop_assert!(serving < 2 || self.partitioned, "{serving} processes serve: {self:#?}");
         for process in self.alive_processes() {
             prop_assert_eq!(process.terminating, process.phase.is_shutting_down());
         }
--- a/crates/node/src/admin/service.rs
+++ b/crates/node/src/admin/service.rs
@@ -69,8 +69,11 @@
     }
 
     /// Forwards a command to the peer and returns its result. Succeeds if there is no peer, or if the link to
-    /// the peer is lost before its response.
+    /// the peer is lost before its response: the peer has ended then.
     async fn execute_at_peer(&self, command: &AdminCommand) -> CommandResult {
+        if self.peer.is_unreachable() {
+            return Err(CommandError::TimedOut);
+        }
         let Some(link) = self.peer.link() else { return Ok(()) };
         match link.forward_command(command).await {
             Some(result) => result,
--- a/crates/node/src/handover/descriptor_stream.rs
+++ b/crates/node/src/handover/descriptor_stream.rs
@@ -5,30 +5,27 @@
 use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
 use std::os::fd::{AsFd, OwnedFd};
-use std::time::Duration;
 
 use bytes::{Buf, Bytes};
 use curlewusher_control::frame::{Decoder, Frame, ReceivedFrame};
 use rustix::net::{
-    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
-    SendFlags, recvmsg, sendmsg,
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags, recvmsg, sendmsg,
 };
 use tokio::io::Interest;
 use tokio::net::UnixStream;
-use tokio::time::timeout;
 
 use crate::handover::error::HandoverError;
 
-/// Maximum time for which the peer may read nothing before it counts as ended.
-pub(super) const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of received descriptors that wait for the frames to which they belong. Further descriptors
 /// are closed, so that the peer cannot use up the descriptors of this process.
 const MAX_PENDING_DESCRIPTORS: usize = 16;
 /// Maximum number of bytes that one read receives.
 const READ_CHUNK_BYTES: usize = 8 << 10;
 
-/// Received descriptors, in the order of the frames to which they belong.
-pub(super) type PendingDescriptors = VecDeque<OwnedFd>;
+/// Received descriptors, in the order of the frames to which they belong. `None` stands for a descriptor that
+/// was sent, and for which this process had no free one.
+pub(super) type PendingDescriptors = VecDeque<Option<OwnedFd>>;
 
 /// Received byte, with the descriptor that arrived with it.
 pub(super) struct ByteWithDescriptor {
@@ -75,10 +72,10 @@
     stream.async_io(Interest::WRITABLE, send).await
 }
 
-/// Writes all bytes. Fails if the peer reads nothing for `WRITE_STALL_TIMEOUT`.
+/// Writes all bytes. Waits as long as the peer reads nothing.
 pub(super) async fn write_all(stream: &UnixStream, mut bytes: Bytes) -> io::Result<()> {
     while bytes.has_remaining() {
-        timeout(WRITE_STALL_TIMEOUT, stream.writable()).await??;
+        stream.writable().await?;
         match stream.try_write(&bytes) {
             Ok(written) => bytes.advance(written),
             Err(error) if error.kind() == ErrorKind::WouldBlock => {}
@@ -114,9 +111,14 @@
         for message in control.drain() {
             if let RecvAncillaryMessage::ScmRights(received) = message {
                 let free = MAX_PENDING_DESCRIPTORS.saturating_sub(descriptors.len());
-                descriptors.extend(received.take(free));
+                descriptors.extend(received.take(free).map(Some));
             }
         }
+        // The system has dropped the descriptor of this chunk. The place is kept, so that the next frame does
+        // not get the descriptor of another one.
+        if received.flags.contains(ReturnFlags::CTRUNC) {
+            descriptors.push_back(None);
+        }
         Ok(if received.bytes > 0 { StreamState::Open } else { StreamState::Closed })
     };
     stream.async_io(Interest::READABLE, receive).await
--- a/crates/node/src/handover/error.rs
+++ b/crates/node/src/handover/error.rs
@@ -80,9 +80,9 @@
 }
 
 impl HandoverError {
-    /// Returns whether a later retry of the same hello may be accepted.
+    /// Returns whether another process of the node is starting or serves, and may accept a later hello.
     pub fn is_busy(&self) -> bool {
-        matches!(self, HandoverError::Rejected(RejectReason::Busy))
+        matches!(self, HandoverError::Rejected(RejectReason::Busy) | HandoverError::LockTimedOut { .. })
     }
 
     /// Converts the error of a system call on a file in `$TMPDIR`.
--- a/crates/node/src/handover/link/mod.rs
+++ b/crates/node/src/handover/link/mod.rs
@@ -1,8 +1,10 @@
 //! Link between two processes of one node, which carries requests in both directions over one Unix socket.
 //!
-//! Each request either has a timeout or expects no response, and the outbound queue is limited. For this
-//! reason a peer that does not answer or read cannot delay this process. A link is connected until either
-//! side closes it, its stream fails or its writes stall. A lost link is never connected again.
+//! **Invariant: a process closes its end only when it exits or has given up the node.** The loss of the link
+//! therefore proves that the peer does not serve, and only then may this process serve in its place. Neither
+//! load nor time closes a link: requests wait for capacity of the outbound queue, the reader waits for the
+//! takeover task, and a peer that is held up is waited for. A request either has a timeout, after which the
+//! link stays open, or waits until the peer responds or has ended. A lost link is never connected again.
 //!
 //! | module | responsibility |
 //! | --- | --- |
@@ -35,8 +37,7 @@
 use self::state::LinkState;
 use self::writer::write_frames;
 
-/// Maximum number of requests of the peer that wait for the takeover task. Further requests are dropped
-/// without a response.
+/// Maximum number of requests of the peer that wait for the takeover task. Further requests wait at the peer.
 const MAX_PENDING_PEER_REQUESTS: usize = 1024;
 
 /// End of a link in this process, with the requests that arrive on it.
@@ -73,7 +74,13 @@
         self.state.is_connected()
     }
 
-    /// Closes the link for both processes. Pending requests end without a response, unless the peer has
+    /// Returns whether the peer has not closed its end, but its frames cannot be decoded, so that neither
+    /// process can reach the other one.
+    pub fn has_failed(&self) -> bool {
+        self.state.has_failed()
+    }
+
+    /// Closes the link for both processes, because this process has given up the node. Pending requests end without a response, unless the peer has
     /// already written the response. Responses that are already written are still read, because the peer
     /// relies on them.
     pub fn close(&self) {
--- a/crates/node/src/handover/link/outbound.rs
+++ b/crates/node/src/handover/link/outbound.rs
@@ -6,14 +6,15 @@
 
 use bytes::Bytes;
 use curlewusher_control::frame::{FrameError, MAX_SNAPSHOT_BYTES};
-use tokio::sync::oneshot;
+use tokio::sync::{OwnedSemaphorePermit, oneshot};
 use tracing::warn;
 
 use crate::telemetry::logging::NODE;
 
-/// Maximum number of bytes that wait to be written: one state snapshot (4 MiB) and other frames in addition.
-/// If more bytes wait, the peer reads too slowly and counts as ended.
-pub(super) const MAX_OUTBOUND_BYTES: usize = 6 << 20;
+/// Maximum number of bytes of requests that wait to be written. Further requests wait for capacity. Responses
+/// and one-way frames are not limited: the peer's requests limit their number, and they are short, except for
+/// one state snapshot.
+pub(super) const MAX_OUTBOUND_REQUEST_BYTES: usize = 1 << 20;
 
 /// Encoded frame, with the values that are needed to write it.
 pub(super) struct OutboundFrame {
@@ -23,6 +24,8 @@
     pub(super) descriptor: Option<Rc<OwnedFd>>,
     /// Sender that is notified when the complete frame is written. Dropped if the frame is never written.
     pub(super) written: Option<oneshot::Sender<()>>,
+    /// Capacity that a request uses until it is written.
+    pub(super) _capacity: Option<OwnedSemaphorePermit>,
 }
 
 /// Queue of frames in the order in which they are written. A frame stays at the front until it is completely
@@ -58,15 +61,16 @@
         }
     }
 
+    /// Returns the number of bytes that wait to be written.
+    #[cfg(test)]
+    pub(super) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Returns whether every frame is written.
     pub(super) fn is_empty(&self) -> bool {
         self.bytes == 0
     }
-
-    /// Returns whether more than `MAX_OUTBOUND_BYTES` wait to be written.
-    pub(super) fn is_over_limit(&self) -> bool {
-        self.bytes > MAX_OUTBOUND_BYTES
-    }
 }
 
 /// Returns the snapshot, or an empty one if the snapshot exceeds the limit of a frame. The successor then
--- a/crates/node/src/handover/link/requests.rs
+++ b/crates/node/src/handover/link/requests.rs
@@ -20,11 +20,8 @@
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum time to wait for the result of a forwarded command. The operator waits up to 1 s for the response.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(700);
-/// Maximum time to wait for the result of the migration of a job. During this time neither process can act on
-/// the job.
+/// Time that a job must have left for its migration. While the job migrates neither process can act on it.
 pub const MIGRATION_TIMEOUT: Duration = Duration::from_secs(2);
-/// Maximum time for which the successor waits until the predecessor has granted the takeover.
-const TAKEOVER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Request id of the frames of the handshake.
 const HANDSHAKE_REQUEST_ID: u64 = 0;
 
@@ -78,25 +75,13 @@
     }
 
     /// Migrates a job to the peer, with the socket of its client. Returns whether the peer now holds the job.
-    /// If the peer does not respond within 2 s, the link is closed, so that the peer can no longer respond.
-    /// For this reason the two processes never both hold the job.
+    /// Waits until the peer responds or the link is lost: until then the peer may hold the job, and this
+    /// process must not act on it.
     pub async fn migrate_job(&self, job: Bytes, client: OwnedFd) -> bool {
         let descriptor = Some(Rc::new(client));
-        let Some(mut pending) = self.state.send_request(&Frame::MigrateJob(job), None, descriptor) else {
-            return false;
-        };
-        let response = if let Ok(response) = timeout(MIGRATION_TIMEOUT, &mut pending.receiver).await {
-            response
-        } else {
-            self.close();
-            (&mut pending.receiver).await
-        };
-        if let Ok(Frame::MigrationResult(is_held)) = response {
-            is_held
-        } else {
-            self.close();
-            false
-        }
+        let sent = self.state.send_request(&Frame::MigrateJob(job), None, descriptor).await;
+        let Some(mut pending) = sent else { return false };
+        matches!((&mut pending.receiver).await, Ok(Frame::MigrationResult(true)))
     }
 
     /// Transfers the cancellation of an attempt to the peer.
@@ -104,17 +89,14 @@
         self.state.send_one_way(&Frame::CancelAttempt { worker, job_id: job_id.to_owned() });
     }
 
-    /// Requests the takeover of new connections and the latest state snapshot from the predecessor. If the
-    /// predecessor does not respond within 1 s, the link is closed: the predecessor may have granted the
-    /// takeover, and rolls it back when it observes the loss of the link.
+    /// Requests the takeover of new connections and the latest state snapshot from the predecessor. Waits as
+    /// long as the predecessor does not respond, since the predecessor serves until it does. Returns `None` if
+    /// the link is lost.
     pub async fn request_takeover(&self) -> Option<Bytes> {
-        if let Some(Frame::TakeoverGranted(snapshot)) =
-            self.request(&Frame::TakeoverRequest, None, TAKEOVER_TIMEOUT).await
-        {
-            Some(snapshot)
-        } else {
-            self.close();
-            None
+        let mut pending = self.state.send_request(&Frame::TakeoverRequest, None, None).await?;
+        match (&mut pending.receiver).await {
+            Ok(Frame::TakeoverGranted(snapshot)) => Some(snapshot),
+            _ => None,
         }
     }
 
@@ -136,8 +118,11 @@
         claimed_job: Option<Rc<str>>,
         response_timeout: Duration,
     ) -> Option<Frame> {
-        let mut pending = self.state.send_request(frame, claimed_job, None)?;
-        timeout(response_timeout, &mut pending.receiver).await.ok()?.ok()
+        let exchange = async {
+            let mut pending = self.state.send_request(frame, claimed_job, None).await?;
+            (&mut pending.receiver).await.ok()
+        };
+        timeout(response_timeout, exchange).await.ok()?
     }
 }
 
--- a/crates/node/src/handover/link/state.rs
+++ b/crates/node/src/handover/link/state.rs
@@ -5,16 +5,17 @@
 use std::collections::HashMap;
 use std::os::fd::OwnedFd;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use curlewusher_control::frame::Frame;
 use curlewusher_control::takeover::{JobClaims, LinkRole};
 use rustix::net::{Shutdown, shutdown};
 use tokio::net::UnixStream;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot};
 use tokio_util::sync::CancellationToken;
 use tracing::warn;
 
-use super::outbound::{OutboundFrame, OutboundQueue};
+use super::outbound::{MAX_OUTBOUND_REQUEST_BYTES, OutboundFrame, OutboundQueue};
 use crate::telemetry::logging::NODE;
 
 /// Id of the first request on a link. The frames of the handshake have the id 0.
@@ -39,8 +40,12 @@
     pub(super) outbound_written: Notify,
     /// Frames that wait to be written.
     pub(super) outbound: RefCell<OutboundQueue>,
-    /// Token that is cancelled when the link is lost.
+    /// Free capacity of the outbound queue for requests, in bytes.
+    request_capacity: Arc<Semaphore>,
+    /// Token that is cancelled when the link is lost or has failed.
     pub(super) lost: CancellationToken,
+    /// Whether frames of the peer cannot be decoded, while the peer still holds its end.
+    failed: Cell<bool>,
     next_request_id: Cell<u64>,
     /// Pending requests by request id.
     pending_requests: RefCell<HashMap<u64, PendingRequest>>,
@@ -55,7 +60,9 @@
             outbound_changed: Notify::new(),
             outbound_written: Notify::new(),
             outbound: RefCell::default(),
+            request_capacity: Arc::new(Semaphore::new(MAX_OUTBOUND_REQUEST_BYTES)),
             lost: CancellationToken::new(),
+            failed: Cell::new(false),
             next_request_id: Cell::new(FIRST_REQUEST_ID),
             pending_requests: RefCell::default(),
         }
@@ -66,15 +73,30 @@
         !self.lost.is_cancelled()
     }
 
+    /// Implements [`super::PeerLink::has_failed`].
+    pub(super) fn has_failed(&self) -> bool {
+        self.failed.get()
+    }
+
+    /// Stops the use of the link without closing it, because the peer would take a close for the end of this
+    /// process. Pending requests stay pending: the peer may have executed them.
+    pub(super) fn fail(&self) {
+        self.failed.set(true);
+        self.disconnect();
+    }
+
     /// Implements [`super::PeerLink::close`].
     pub(super) fn close(&self) {
-        if !self.is_connected() {
-            return;
-        }
-        self.lost.cancel();
-        *self.outbound.borrow_mut() = OutboundQueue::default();
+        self.failed.set(false);
+        self.disconnect();
         // The call fails if the peer has already closed the connection.
         let _ = shutdown(&self.stream, Shutdown::Both);
+    }
+
+    fn disconnect(&self) {
+        self.lost.cancel();
+        self.request_capacity.close();
+        *self.outbound.borrow_mut() = OutboundQueue::default();
         self.outbound_changed.notify_one();
         self.outbound_written.notify_waiters();
     }
@@ -86,22 +108,30 @@
         }
     }
 
-    /// Sends a request. Returns `None` if the link is lost or the frame exceeds its limit.
-    pub(super) fn send_request(
+    /// Sends a request, once the outbound queue has capacity for it. Returns `None` if the link is lost or the
+    /// frame exceeds its limit.
+    pub(super) async fn send_request(
         &self,
         frame: &Frame,
         claimed_job: Option<Rc<str>>,
         descriptor: Option<Rc<OwnedFd>>,
     ) -> Option<PendingResponse<'_>> {
         let request_id = self.take_request_id();
-        let bytes = frame.encode(request_id).ok().filter(|_| self.is_connected())?;
+        let bytes = frame.encode(request_id).ok()?;
+        let capacity = self.reserve_capacity(bytes.len()).await?;
         let (response, receiver) = oneshot::channel();
         self.pending_requests.borrow_mut().insert(request_id, PendingRequest { response, claimed_job });
         let pending = PendingResponse { state: self, request_id, receiver };
-        self.enqueue(OutboundFrame { bytes, descriptor, written: None });
+        self.enqueue(OutboundFrame { bytes, descriptor, written: None, _capacity: Some(capacity) });
         Some(pending)
     }
 
+    /// Waits until the outbound queue has capacity for a request. Returns `None` if the link is lost.
+    async fn reserve_capacity(&self, request_bytes: usize) -> Option<OwnedSemaphorePermit> {
+        let permits = u32::try_from(request_bytes).ok()?;
+        self.request_capacity.clone().acquire_many_owned(permits).await.ok()
+    }
+
     /// Sends a frame that expects no response.
     pub(super) fn send_one_way(&self, frame: &Frame) {
         self.send_response(self.take_request_id(), frame);
@@ -145,24 +175,18 @@
 
     fn send_frame(&self, request_id: u64, frame: &Frame, written: Option<oneshot::Sender<()>>) {
         match frame.encode(request_id) {
-            Ok(bytes) => self.enqueue(OutboundFrame { bytes, descriptor: None, written }),
+            Ok(bytes) => {
+                self.enqueue(OutboundFrame { bytes, descriptor: None, written, _capacity: None });
+            }
             Err(error) => warn!(target: NODE, %error, "peer message not sent"),
         }
     }
 
-    /// Queues a frame. If the queue then exceeds its limit, the peer counts as ended and the link is closed.
     fn enqueue(&self, frame: OutboundFrame) {
         if !self.is_connected() {
             return;
         }
-        let mut outbound = self.outbound.borrow_mut();
-        outbound.push(frame);
-        let is_over_limit = outbound.is_over_limit();
-        drop(outbound);
-        if is_over_limit {
-            warn!(target: NODE, "peer link stalled");
-            return self.close();
-        }
+        self.outbound.borrow_mut().push(frame);
         self.outbound_changed.notify_one();
     }
 }
--- a/crates/node/src/handover/link/writer.rs
+++ b/crates/node/src/handover/link/writer.rs
@@ -6,12 +6,12 @@
 
 use bytes::{Buf, Bytes};
 use tokio::net::UnixStream;
-use tokio::time::timeout;
 
 use super::state::LinkState;
-use crate::handover::descriptor_stream::{WRITE_STALL_TIMEOUT, send_with_descriptor, write_all};
+use crate::handover::descriptor_stream::{send_with_descriptor, write_all};
 
-/// Writes queued frames until the link is lost. Closes the link if a write fails or stalls.
+/// Writes queued frames until the link is lost. Waits as long as the peer reads nothing: a peer that is held up
+/// has not ended. Closes the link if a write fails, which means that the peer has closed its end.
 pub(super) async fn write_frames(state: Rc<LinkState>) {
     while state.is_connected() {
         let front = state.outbound.borrow().front();
@@ -20,7 +20,13 @@
             state.outbound_changed.notified().await;
             continue;
         };
-        if write_frame(&state.stream, bytes, descriptor).await.is_err() {
+        let write = write_frame(&state.stream, bytes, descriptor);
+        let written = tokio::select! {
+            biased;
+            () = state.lost.cancelled() => return,
+            written = write => written,
+        };
+        if written.is_err() {
             return state.close();
         }
         state.outbound.borrow_mut().remove_written();
@@ -33,8 +39,7 @@
     descriptor: Option<Rc<OwnedFd>>,
 ) -> io::Result<()> {
     if let Some(descriptor) = descriptor {
-        let send = send_with_descriptor(stream, &bytes, &*descriptor);
-        let sent = timeout(WRITE_STALL_TIMEOUT, send).await??;
+        let sent = send_with_descriptor(stream, &bytes, &*descriptor).await?;
         bytes.advance(sent);
     }
     write_all(stream, bytes).await
--- a/crates/node/src/handover/peer.rs
+++ b/crates/node/src/handover/peer.rs
@@ -24,6 +24,11 @@
         self.link.borrow().clone().filter(PeerLink::is_connected)
     }
 
+    /// Returns whether the peer runs but cannot be reached, because its link has failed.
+    pub fn is_unreachable(&self) -> bool {
+        self.link.borrow().as_ref().is_some_and(PeerLink::has_failed)
+    }
+
     /// Replaces the link, or removes it.
     pub fn set_link(&self, link: Option<PeerLink>) {
         *self.link.borrow_mut() = link;
--- a/crates/node/src/handover/startup.rs
+++ b/crates/node/src/handover/startup.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 use tracing::{info, warn};
 
 use crate::handover::error::HandoverError;
@@ -13,8 +13,6 @@
 use crate::handover::rendezvous::{Rendezvous, StartLock};
 use crate::telemetry::logging::NODE;
 
-/// Maximum time for which a start retries while the predecessor is busy with another takeover.
-const BUSY_RETRY_LIMIT: Duration = Duration::from_secs(5);
 /// Delay between retries while the predecessor is busy with another takeover.
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -44,9 +42,9 @@
 }
 
 impl StartupHandover {
-    /// Searches for a predecessor in `directory`. Retries for up to 5 s while the predecessor is busy. Any
-    /// other error, or a busy predecessor after that time, is logged, and the process then starts as if there
-    /// were no predecessor. Without a directory there is no search.
+    /// Searches for a predecessor in `directory`. Retries as long as another process of the node is starting or
+    /// the predecessor is busy, because that process serves. Any other error is logged, and the process then
+    /// starts as if there were no predecessor. Without a directory there is no search.
     pub async fn find_predecessor(
         directory: Option<PathBuf>,
         node: &str,
@@ -54,7 +52,7 @@
     ) -> StartupHandover {
         let Some(directory) = directory else { return StartupHandover::default() };
         let rendezvous = Rendezvous::new(&directory, listen);
-        let search_start = Instant::now();
+        let mut is_waiting = false;
         loop {
             match search(&rendezvous, node, listen).await {
                 SearchResult::Completed { start_lock, predecessor } => {
@@ -74,9 +72,10 @@
                     // reason is logged only once.
                     return StartupHandover::without_predecessor(None);
                 }
-                SearchResult::Failed(error)
-                    if error.is_busy() && search_start.elapsed() < BUSY_RETRY_LIMIT =>
-                {
+                SearchResult::Failed(error) if error.is_busy() => {
+                    if !std::mem::replace(&mut is_waiting, true) {
+                        info!(target: NODE, %node, %error, "predecessor busy");
+                    }
                     sleep(BUSY_RETRY_DELAY).await;
                 }
                 SearchResult::Failed(error) => {
--- a/crates/node/src/server/job_handler.rs
+++ b/crates/node/src/server/job_handler.rs
@@ -86,10 +86,10 @@
                 received = &mut response_receiver => {
                     break received.map_err(|_| RequestError::JobAbandoned)?;
                 }
-                () = self.state.migration_requested(retry_delay) => {
+                slot = self.state.migration_slot(retry_delay) => {
                     retry_delay = MIGRATION_RETRY_DELAY;
                     let client = self.duplicate_socket();
-                    let outcome = migrate_job(&self.state, job_handle, client).await;
+                    let outcome = migrate_job(&self.state, job_handle, client, slot).await;
                     if outcome == MigrationOutcome::Accepted {
                         open_job.disarm_disconnect_message();
                         self.connection.abort(AbortReason::JobMigrated);
--- a/crates/node/src/server/migration.rs
+++ b/crates/node/src/server/migration.rs
@@ -19,7 +19,7 @@
 use super::open_job::OpenJob;
 use super::response;
 use super::shutdown::CLOSE_TIMEOUT;
-use super::state::ServerState;
+use super::state::{MigrationSlot, ServerState};
 use crate::dispatch::{
     DispatchMessage, DispatchQueue, IncomingMigration, JobHandle, JobMigration, JobResponse,
     MigrationOutcome, OutgoingMigration,
@@ -30,18 +30,20 @@
 /// Delay before the next attempt to migrate a job after a failed one.
 pub const MIGRATION_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Migrates a job to the peer process of this node, with a duplicate of the client's socket.
+/// Migrates a job to the peer process of this node, with a duplicate of the client's socket. Uses `slot` until
+/// the migration has ended, also if this future is dropped before.
 pub async fn migrate_job(
     state: &ServerState,
     job_handle: &JobHandle,
     client: Option<OwnedFd>,
+    slot: MigrationSlot,
 ) -> MigrationOutcome {
     let (Some(link), Some(client)) = (state.peer.link(), client) else { return MigrationOutcome::RolledBack };
     // The sender is dropped together with this future when the client closes its connection during the
     // migration.
     let (_client_connected, client_disconnected) = oneshot::channel();
-    let outgoing =
-        OutgoingJob { queue: state.queue.clone(), job_handle: job_handle.clone(), client_disconnected };
+    let (queue, job_handle) = (state.queue.clone(), job_handle.clone());
+    let outgoing = OutgoingJob { queue, job_handle, client_disconnected, _slot: slot };
     // The migration runs in a separate task: if the client closes its connection now, the migration must
     // still complete, so that exactly one process owns the job.
     let migrated = spawn_local(outgoing.migrate(link, client)).await;
@@ -54,6 +56,7 @@
     job_handle: JobHandle,
     /// Closed once the client has disconnected.
     client_disconnected: oneshot::Receiver<Infallible>,
+    _slot: MigrationSlot,
 }
 
 impl OutgoingJob {
@@ -177,10 +180,10 @@
                 biased;
                 received = &mut job.response_receiver => return Some(received),
                 () = wait_for_disconnect(stream) => return None,
-                () = self.state.migration_requested(retry_delay) => {
+                slot = self.state.migration_slot(retry_delay) => {
                     retry_delay = MIGRATION_RETRY_DELAY;
                     let client = stream.as_fd().try_clone_to_owned().ok();
-                    let outcome = migrate_job(&self.state, &job.job_handle, client).await;
+                    let outcome = migrate_job(&self.state, &job.job_handle, client, slot).await;
                     if outcome == MigrationOutcome::Accepted {
                         job.open_job.disarm_disconnect_message();
                         return None;
--- a/crates/node/src/server/state.rs
+++ b/crates/node/src/server/state.rs
@@ -1,12 +1,14 @@
 //! State that is shared by all connections and handlers of the server.
 
 use std::cell::{Cell, RefCell};
+use std::future::pending;
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use std::time::Duration;
 
 use curlewusher_settings::Site;
 use curlewusher_settings::operator::ServerOptions;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::sleep;
 
 use super::connection::Connection;
@@ -20,6 +22,10 @@
 use crate::telemetry::metrics::Metrics;
 use crate::upstream::RequestPayload;
 
+/// Maximum number of jobs that migrate to the peer process at the same time. Neither process acts on such a
+/// job, and each of them holds its body.
+const MAX_CONCURRENT_MIGRATIONS: usize = 8;
+
 /// Parts of the node that the server uses.
 pub struct ServerParts<'a> {
     /// Queue of the dispatch task, which decides on the outcome of each job.
@@ -73,6 +79,13 @@
     pub listener_mode: watch::Sender<ListenerMode>,
     /// Whether open jobs should migrate to the peer process of this node.
     pub migrating: watch::Sender<bool>,
+    /// Free slots of migrations to the peer process.
+    migration_slots: Arc<Semaphore>,
+}
+
+/// Slot of one migration to the peer process, which is free again once this value is dropped.
+pub struct MigrationSlot {
+    _permit: OwnedSemaphorePermit,
 }
 
 impl ServerState {
@@ -94,6 +107,7 @@
             intake_closed: Rc::default(),
             listener_mode: watch::Sender::new(ListenerMode::Paused),
             migrating: watch::Sender::new(false),
+            migration_slots: Arc::new(Semaphore::new(MAX_CONCURRENT_MIGRATIONS)),
         }
     }
 
@@ -123,10 +137,18 @@
         connections.iter().filter_map(Weak::upgrade).collect()
     }
 
-    /// Waits for `delay`, and then until open jobs should migrate.
-    pub async fn migration_requested(&self, delay: Duration) {
+    /// Waits for `delay`, and then until open jobs should migrate and a slot for a migration is free.
+    pub async fn migration_slot(&self, delay: Duration) -> MigrationSlot {
         sleep(delay).await;
-        // This fails only if the sender has been dropped, but this state owns the sender.
-        let _ = self.migrating.subscribe().wait_for(|migrating| *migrating).await;
+        loop {
+            // This fails only if the sender has been dropped, but this state owns the sender.
+            let _ = self.migrating.subscribe().wait_for(|migrating| *migrating).await;
+            let Ok(permit) = self.migration_slots.clone().acquire_owned().await else {
+                return pending().await;
+            };
+            if *self.migrating.borrow() {
+                return MigrationSlot { _permit: permit };
+            }
+        }
     }
 }
--- a/crates/node/tests/operation/mod.rs
+++ b/crates/node/tests/operation/mod.rs
@@ -1,5 +1,6 @@
 //! Daily operation: drains, maintenance of workers, and upgrades to another version.
 
+mod loaded_upgrade;
 mod upgrade;
 mod upgrade_scenario;
 
