Store bodies and heads of open jobs without unused memory

Cause: the buffer of a body doubled while it was received, and the header values of an open job kept hyper's read buffer of 8 KiB alive, so that hyper allocated another one. Change: a body of a known length is received into one allocation of that length; header values and path of a job are copied out of the read buffer.

--- a/crates/node/src/http_body.rs
+++ b/crates/node/src/http_body.rs
@@ -35,7 +35,9 @@
     B: Body<Data = Bytes> + Unpin,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let mut received = Vec::new();
+    // An exact allocation leaves nothing unused, and its pages use no memory before their bytes arrive.
+    let announced_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let mut received = Vec::with_capacity(announced_bytes.min(max_bytes));
     for_each_piece(body, max_bytes, |piece| received.extend_from_slice(piece)).await?;
     Ok(Bytes::from(received.into_boxed_slice()))
 }
--- a/crates/node/src/server/request.rs
+++ b/crates/node/src/server/request.rs
@@ -136,11 +136,11 @@
         let path = parse_path(&head.uri)?;
         let affinity_key = affinity_key(path.path());
         let forwarded = ForwardedHead {
-            request_id: headers[X_REQUEST_ID].clone(),
-            idempotency_key,
-            content_type: headers.get(CONTENT_TYPE).cloned(),
+            request_id: copy_header(&headers[X_REQUEST_ID]),
+            idempotency_key: idempotency_key.as_ref().map(copy_header),
+            content_type: headers.get(CONTENT_TYPE).map(copy_header),
             method: head.method,
-            path,
+            path: copy_path(&path),
         };
         Ok(JobRequest {
             request_id,
@@ -193,6 +193,16 @@
     }
 }
 
+/// Copies a header out of the connection's read buffer, which the original keeps alive as a whole.
+fn copy_header(value: &HeaderValue) -> HeaderValue {
+    HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone())
+}
+
+/// Copies a path out of the connection's read buffer, which the original keeps alive as a whole.
+fn copy_path(path: &PathAndQuery) -> PathAndQuery {
+    PathAndQuery::try_from(path.as_str()).unwrap_or_else(|_| path.clone())
+}
+
 /// Parses the id of a job. The id must need no escaping in a path, since the request that cancels the job
 /// contains it in its path.
 fn parse_request_id(headers: &HeaderMap) -> Result<Rc<str>, RequestError> {
