--- a/crates/testbed/src/client_connections/exchange.rs
+++ b/crates/testbed/src/client_connections/exchange.rs
@@ -6,7 +6,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::event_log::FailureReason;
 
@@ -37,7 +37,7 @@
     pub(super) is_reusable: bool,
 }
 
-/// Returns whether the node has left an idle connection open. The check reads the socket directly, because
+/// Returns whether the node has left a connection open and has sent nothing on it. The check reads the socket directly, because
 /// the runtime observes a close only when it polls the socket.
 pub(super) fn is_open(stream: &TcpStream) -> bool {
     let mut byte = [MaybeUninit::uninit()];
@@ -50,21 +50,65 @@
 pub struct OutgoingRequest<'run> {
     /// Bytes of the request.
     pub bytes: &'run [u8],
-    /// Number of bytes that are written first, and the pause after them. `None` if all bytes are written at
-    /// once.
-    pub split: Option<(usize, Duration)>,
+    /// Way in which the bytes are written.
+    pub pattern: WritePattern,
+}
+
+/// Way in which a request is written.
+#[derive(Clone, Copy, Debug)]
+pub enum WritePattern {
+    /// All bytes are written at once.
+    AtOnce,
+    /// The first bytes are written, and the others after a pause.
+    TwoParts {
+        /// Number of bytes that are written first.
+        first_bytes: usize,
+        /// Pause after them.
+        pause: Duration,
+    },
+    /// Pieces are written at a constant rate.
+    Pieces {
+        /// Length of a piece, in bytes.
+        piece_bytes: usize,
+        /// Time in which all pieces are written.
+        duration: Duration,
+    },
 }
 
 impl OutgoingRequest<'_> {
     async fn write(&self, stream: &mut TcpStream) -> std::io::Result<()> {
-        let mut rest = self.bytes;
-        if let Some((first_length, pause)) = self.split {
-            let (first, second) = self.bytes.split_at(first_length.min(self.bytes.len()));
-            stream.write_all(first).await?;
-            sleep(pause).await;
-            rest = second;
+        match self.pattern {
+            WritePattern::AtOnce => stream.write_all(self.bytes).await,
+            WritePattern::TwoParts { first_bytes, pause } => {
+                let (first, second) = self.bytes.split_at(first_bytes.min(self.bytes.len()));
+                stream.write_all(first).await?;
+                sleep(pause).await;
+                stream.write_all(second).await
+            }
+            WritePattern::Pieces { piece_bytes, duration } => {
+                self.write_pieces(stream, piece_bytes, duration).await
+            }
+        }
+    }
+
+    /// Writes pieces, each once its time has come. Stops early if the node closes the connection or responds,
+    /// as a client does that reads while it writes.
+    async fn write_pieces(
+        &self,
+        stream: &mut TcpStream,
+        piece_bytes: usize,
+        duration: Duration,
+    ) -> std::io::Result<()> {
+        let started_at = Instant::now();
+        let interval = duration.div_f64(self.bytes.len().div_ceil(piece_bytes) as f64);
+        for (piece, number) in self.bytes.chunks(piece_bytes).zip(0..) {
+            sleep_until(started_at + interval * number).await;
+            if !is_open(stream) {
+                break;
+            }
+            stream.write_all(piece).await?;
         }
-        stream.write_all(rest).await
+        Ok(())
     }
 }
 
--- a/crates/testbed/src/client_connections/mod.rs
+++ b/crates/testbed/src/client_connections/mod.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, timeout};
 
 use self::exchange::{Exchange, exchange, is_open};
-pub use self::exchange::{OutgoingRequest, Response};
+pub use self::exchange::{OutgoingRequest, Response, WritePattern};
 use crate::event_log::FailureReason;
 
 /// Timeout for opening a connection to a node.
--- a/crates/testbed/src/load/clients.rs
+++ b/crates/testbed/src/load/clients.rs
@@ -11,12 +11,12 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use super::job_request::JobRequest;
-use crate::client_connections::{OutgoingRequest, Response, Route};
+use crate::client_connections::{OutgoingRequest, Response, Route, WritePattern};
 use crate::client_router::ClientRouter;
 use crate::environment::Environment;
 use crate::event_log::{Event, EventLog, FailureReason};
 use crate::fleet::{RequestOrigin, SentRequests, expected_result};
-use crate::scenario::{Class, Idempotency, Scenario};
+use crate::scenario::{Class, Idempotency, LongBodies, Scenario};
 
 /// Time that a client waits beyond its timeout, to measure how late a late response is.
 const LATE_RESPONSE_MARGIN: Duration = Duration::from_millis(500);
@@ -28,6 +28,8 @@
 /// Offset in the selection of jobs with pipelined requests. It makes the selection differ from those of jobs
 /// with new connections and with split requests.
 const PIPELINED_OFFSET: f64 = 0.71;
+/// Offset in the selection of jobs with long bodies. It makes the selection differ from the others.
+const LONG_BODY_OFFSET: f64 = 0.53;
 /// Difference of the pauses of consecutive jobs, as a fraction of the maximum pause. It makes consecutive
 /// jobs differ in their pauses.
 const PAUSE_STEP: f64 = 0.754_877_666_246_692_7;
@@ -173,6 +175,34 @@
         Some(Duration::from_secs_f64(split.pause_s * (job as f64 * PAUSE_STEP).fract()))
     }
 
+    /// Returns the long body of the request for a job, or `None` if the body is short.
+    fn long_body(&self, job: usize) -> Option<LongBodies> {
+        let long_bodies = self.scenario.load.long_bodies?;
+        is_in_fraction(job, LONG_BODY_OFFSET, long_bodies.share).then_some(long_bodies)
+    }
+
+    /// Returns the way in which the request of this length for a job is written.
+    fn write_pattern(&self, job: usize, request_bytes: usize) -> WritePattern {
+        if let Some(long_body) = self.long_body(job) {
+            let duration = Duration::from_secs_f64(long_body.written_in_s);
+            return WritePattern::Pieces { piece_bytes: long_body.piece_bytes, duration };
+        }
+        match self.split_pause(job) {
+            Some(pause) => {
+                WritePattern::TwoParts { first_bytes: 1 + job * SPLIT_STEP % (request_bytes - 1), pause }
+            }
+            None => WritePattern::AtOnce,
+        }
+    }
+
+    /// Returns the time from the first to the last byte of the request for a job.
+    fn write_duration(&self, job: usize) -> TimeSpan {
+        match self.long_body(job) {
+            Some(long_body) => TimeSpan::from_secs_f64(long_body.written_in_s),
+            None => self.split_pause(job).map_or(TimeSpan::ZERO, TimeSpan::from),
+        }
+    }
+
     /// Returns whether another request is pipelined after the request for a job.
     fn is_pipelined(&self, job: usize) -> bool {
         self.scenario.load.pipelined.is_some_and(|share| is_in_fraction(job, PIPELINED_OFFSET, share))
@@ -212,7 +242,7 @@
     /// Returns the time from the first byte of the request to the client's deadline. The timeout itself
     /// counts from the last byte.
     fn timeout_from_first_byte(&self, submission: &Submission) -> TimeSpan {
-        submission.timeout + self.split_pause(submission.job).map_or(TimeSpan::ZERO, TimeSpan::from)
+        submission.timeout + self.write_duration(submission.job)
     }
 
     /// Sends a request on a connection and reads the response.
@@ -230,18 +260,15 @@
             class: self.class_of(submission.job),
             timeout: submission.timeout,
             is_retry: submission.retry > 0,
+            long_body_bytes: self.long_body(submission.job).map(|long_body| long_body.bytes),
         };
         let mut request = request.render(route.address);
-        let request_length = request.len();
+        let pattern = self.write_pattern(submission.job, request.len());
         let is_pipelined = self.is_pipelined(submission.job);
         if is_pipelined {
             request += PIPELINED_REQUEST;
         }
-        let split = self.split_pause(submission.job).map(|pause| {
-            let first_length = 1 + submission.job * SPLIT_STEP % (request_length - 1);
-            (first_length, pause)
-        });
-        let request = OutgoingRequest { bytes: request.as_bytes(), split };
+        let request = OutgoingRequest { bytes: request.as_bytes(), pattern };
         let response = self.router.connections.send(route, request, keep_connection && !is_pipelined);
         let max_wait = Duration::from(self.timeout_from_first_byte(submission)) + LATE_RESPONSE_MARGIN;
         timeout(max_wait, response).await.unwrap_or(Err(FailureReason::Late))
--- a/crates/testbed/src/load/job_request.rs
+++ b/crates/testbed/src/load/job_request.rs
@@ -8,7 +8,7 @@
 
 use crate::scenario::{Class, Idempotency};
 
-/// Body of every request.
+/// Body of a request, which is repeated for a long body.
 const BODY: &str = "interval=40-55";
 
 /// Content of a request for a job.
@@ -25,6 +25,8 @@
     pub timeout: TimeSpan,
     /// Whether the client has sent an earlier request for the same job.
     pub is_retry: bool,
+    /// Length of a long body, in bytes. `None` for a short one.
+    pub long_body_bytes: Option<usize>,
 }
 
 impl JobRequest<'_> {
@@ -47,7 +49,9 @@
         if self.is_retry {
             request += "x-retry: 1\r\n";
         }
-        let _ = write!(request, "content-length: {}\r\n\r\n{BODY}", BODY.len());
+        let body_bytes = self.long_body_bytes.unwrap_or(BODY.len());
+        let _ = write!(request, "content-length: {body_bytes}\r\n\r\n");
+        request.extend(BODY.chars().cycle().take(body_bytes));
         request
     }
 }
--- a/crates/testbed/src/nodes/config.rs
+++ b/crates/testbed/src/nodes/config.rs
@@ -4,9 +4,7 @@
 use serde_json::{Value, json};
 
 use super::spec::ProcessSpec;
-use crate::scenario::{
-    Class, DEDUPLICATION_WINDOW, Idempotency, MEMORY_LIMIT_MB, OVERLOAD_FACTOR, OVERLOAD_WINDOW, Scenario,
-};
+use crate::scenario::{Class, DEDUPLICATION_WINDOW, Idempotency, OVERLOAD_FACTOR, OVERLOAD_WINDOW, Scenario};
 
 /// Factor for the scenario's seed, which makes the nodes' seeds of adjacent scenario seeds differ in many
 /// bits.
@@ -22,7 +20,7 @@
         "listen": listen,
         "discovery": discovery,
         "seed": format!("{seed:016x}"),
-        "limits": {"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB as u64, "sockets": scenario.nodes.descriptors},
+        "limits": {"cores": 1.0, "memory_mb": scenario.nodes.memory_limit_mb(), "sockets": scenario.nodes.descriptors},
         "known": saved_list.clone().unwrap_or_else(empty_list),
         "settings": settings(scenario, *number),
     });
--- a/crates/testbed/src/scenario/conversion.rs
+++ b/crates/testbed/src/scenario/conversion.rs
@@ -34,8 +34,8 @@
 /// Multiple of the current capacity of a worker that is warming up. The worker crashes when the work offered
 /// to it within [`OVERLOAD_WINDOW`] exceeds this multiple of the work that it can do in that time.
 pub const OVERLOAD_FACTOR: f64 = 3.0;
-/// Memory limit of a node, for all of its processes together, in MB.
-pub const MEMORY_LIMIT_MB: f64 = 192.0;
+/// Memory limit of a node for which the scenario sets none, for all of its processes together, in MB.
+pub(super) const DEFAULT_MEMORY_LIMIT_MB: u32 = 192;
 
 /// Interval between two progress reports of a worker.
 const PROGRESS_INTERVAL: TimeSpan = TimeSpan::from_secs(2);
@@ -108,7 +108,10 @@
 
     /// Returns the limits of a node, for all of its processes together.
     pub fn footprint_limits(&self) -> FootprintLimits {
-        FootprintLimits { memory_mb: MEMORY_LIMIT_MB, descriptors: self.nodes.descriptors }
+        FootprintLimits {
+            memory_mb: f64::from(self.nodes.memory_limit_mb()),
+            descriptors: self.nodes.descriptors,
+        }
     }
 
     /// Returns the limits and tolerances of the rules.
--- a/crates/testbed/src/scenario/mod.rs
+++ b/crates/testbed/src/scenario/mod.rs
@@ -13,7 +13,8 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use conversion::{DEDUPLICATION_WINDOW, MEMORY_LIMIT_MB, OVERLOAD_FACTOR, OVERLOAD_WINDOW};
+use conversion::DEFAULT_MEMORY_LIMIT_MB;
+pub use conversion::{DEDUPLICATION_WINDOW, OVERLOAD_FACTOR, OVERLOAD_WINDOW};
 pub use error::ScenarioError;
 pub use fault::{Fault, FaultKind, MAX_SIGTERM_DELAY_S, UpgradeProcess};
 
@@ -51,6 +52,9 @@
     /// Number of file descriptors that each node may use.
     #[serde(default = "Nodes::default_descriptors")]
     pub descriptors: usize,
+    /// Memory that all processes of a node together may use, in MB. `None` means the default.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory_mb: Option<u32>,
     /// Path of the operator's file for all nodes.
     #[serde(default)]
     pub operator: Option<PathBuf>,
@@ -61,6 +65,11 @@
 }
 
 impl Nodes {
+    /// Returns the memory that all processes of a node together may use, in MB.
+    pub fn memory_limit_mb(&self) -> u32 {
+        self.memory_mb.unwrap_or(DEFAULT_MEMORY_LIMIT_MB)
+    }
+
     fn default_descriptors() -> usize {
         1024
     }
@@ -182,6 +191,9 @@
     /// Requests that are written in two parts. `None` means no such requests.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub split: Option<SplitRequests>,
+    /// Requests with long bodies, which are written in pieces. `None` means that all bodies are short.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub long_bodies: Option<LongBodies>,
     /// Fraction of jobs behind whose request the client writes another request at once. `None` means no such
     /// jobs.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -216,6 +228,20 @@
     pub pause_s: f64,
 }
 
+/// Requests with long bodies, which are written in pieces at a constant rate.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LongBodies {
+    /// Fraction of jobs with a long body.
+    pub share: f64,
+    /// Length of the body, in bytes.
+    pub bytes: usize,
+    /// Length of a piece, in bytes.
+    pub piece_bytes: usize,
+    /// Time in which the request is written, in seconds.
+    pub written_in_s: f64,
+}
+
 /// Period in which the rate of the load is a multiple of the base rate.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/testbed/src/scenario/validation.rs
+++ b/crates/testbed/src/scenario/validation.rs
@@ -5,6 +5,10 @@
 
 /// Maximum number of workers in a scenario.
 const MAX_WORKERS: usize = 10_000;
+/// Maximum length of the body of a request, in bytes, as in the nodes.
+const MAX_BODY_BYTES: f64 = 65_536.0;
+/// Maximum time in which an ordinary client writes a request, in seconds.
+const MAX_WRITE_TIME_S: f64 = 2.0;
 /// Maximum duration of an upgrade in excess of its maximum delay, in seconds. The successor is ready within
 /// 6 s, the predecessor is killed 3.7 s after SIGTERM, and the starts of the processes take a short time.
 const UPGRADE_MARGIN_S: f64 = 10.0;
@@ -52,6 +56,7 @@
     /// another.
     pub(super) fn validate(&self) -> Result<(), InvalidField> {
         let mut values = self.single_values();
+        values.extend(self.long_body_values());
         values.extend(self.machine_kind_values());
         values.extend(self.load_curve_values());
         values.extend(self.class_values());
@@ -100,12 +105,31 @@
                 0.0,
                 60.0,
             ),
+            BoundedValue::in_single_table(
+                "nodes",
+                "memory_mb",
+                f64::from(nodes.memory_limit_mb()),
+                16.0,
+                65_536.0,
+            ),
             BoundedValue::in_single_table("load", "pipelined", load.pipelined.unwrap_or(0.0), 0.0, 1.0),
             BoundedValue::in_single_table("load", "retry_wait_s", load.retry_wait_s, 0.0, 3_600.0),
             BoundedValue::in_single_table("", "class", self.classes.len() as f64, 1.0, 64.0),
         ]
     }
 
+    fn long_body_values(&self) -> impl Iterator<Item = BoundedValue> {
+        let values = |field, value, min, max| BoundedValue::in_single_table("load", field, value, min, max);
+        self.load.long_bodies.into_iter().flat_map(move |long| {
+            [
+                values("long_bodies.share", long.share, 0.0, 1.0),
+                values("long_bodies.bytes", long.bytes as f64, 1.0, MAX_BODY_BYTES),
+                values("long_bodies.piece_bytes", long.piece_bytes as f64, 1.0, MAX_BODY_BYTES),
+                values("long_bodies.written_in_s", long.written_in_s, 0.0, MAX_WRITE_TIME_S),
+            ]
+        })
+    }
+
     /// Returns the values of the kinds of machines. Errors of all of them name the field `kinds`, because the
     /// kinds may be written in one line.
     fn machine_kind_values(&self) -> impl Iterator<Item = BoundedValue> {
--- a/crates/testbed/tests/lab.rs
+++ b/crates/testbed/tests/lab.rs
@@ -114,6 +114,15 @@
     assert_no_rule_is_broken(&out);
 }
 
+/// Regression test of the incidents of 2026-12-04: the pieces of long requests took a node over its memory, and
+/// their migration made a superseded process serve again beside its successor.
+#[test]
+fn long_requests_arrive_in_pieces_during_an_upgrade_then_no_rule_is_broken() {
+    let scenario = concat!(env!("CARGO_MANIFEST_DIR"), "/../../scenarios/long-requests.toml");
+    let out = run_scenario(scenario, "long-requests", &[]);
+    assert_no_rule_is_broken(&out);
+}
+
 #[test]
 fn soak_runs_of_fixed_seeds_then_no_rule_is_broken() {
     let arguments = "soak --first 5 --seeds 2 --nodes 8 --workers 9 --length 15 --faults 9";
--- a/crates/testbed/tests/unit/client_connections.rs
+++ b/crates/testbed/tests/unit/client_connections.rs
@@ -11,7 +11,7 @@
 
 /// Returns a request that is written in one part.
 fn unsplit(bytes: &[u8]) -> OutgoingRequest<'_> {
-    OutgoingRequest { bytes, split: None }
+    OutgoingRequest { bytes, pattern: WritePattern::AtOnce }
 }
 
 #[tokio::test]
@@ -85,7 +85,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is available");
     let address = listener.local_addr().expect("the listener has an address");
     let connections = ClientConnections::new(1);
-    let request = OutgoingRequest { bytes: b"firstsecond", split: Some((5, Duration::from_millis(50))) };
+    let pattern = WritePattern::TwoParts { first_bytes: 5, pause: Duration::from_millis(50) };
+    let request = OutgoingRequest { bytes: b"firstsecond", pattern };
     let respond_early = async {
         let (mut stream, _) = listener.accept().await.expect("the client connects");
         stream.read_exact(&mut [0; 5]).await.expect("the first part arrives");
--- a/crates/testbed/tests/unit/job_request.rs
+++ b/crates/testbed/tests/unit/job_request.rs
@@ -26,6 +26,7 @@
         class: &scenario.classes[class],
         timeout: TimeSpan::from_micros(2_500_001),
         is_retry,
+        long_body_bytes: None,
     };
     request.render(SocketAddr::from(([127, 0, 0, 1], 8080)))
 }
