Handover: name the time that a migration needs; callbacks while a link has failed

Need: MIGRATION_TIMEOUT no longer times anything out. While a link has failed (a frame of the peer cannot be decoded) a callback of an unknown job was acknowledged, although the unreachable peer may hold the job. Change: MIN_TIME_FOR_MIGRATION; Peer::may_have_unknown_peer includes an unreachable peer, so that the worker sends the callback again. No other behaviour changes.

--- a/crates/node/src/dispatch/migration.rs
+++ b/crates/node/src/dispatch/migration.rs
@@ -25,8 +25,8 @@
 use super::clock::WallTime;
 use super::jobs::{Job, JobHandle, JobResponse};
 
-/// Minimum duration from the timeout of a migration to the deadline of its job. This process needs it to
-/// answer the job after a rollback.
+/// Time that a job must have left in addition to that of its migration. This process needs it to answer the
+/// job after a rollback.
 const RESPONSE_MARGIN_AFTER_ROLLBACK: TimeSpan = TimeSpan::from_millis(500);
 
 /// A job that is migrated from one process of this node to the other, without its payload.
@@ -98,12 +98,12 @@
 }
 
 /// Returns whether a job can be migrated: its client awaits a response, the job could still be answered in
-/// time after a migration that times out, and each attempt has ended or was accepted. Until a worker has
+/// time after a migration that is rolled back, and each attempt has ended or was accepted. Until a worker has
 /// accepted an attempt, its response arrives over a connection of this process.
-pub(super) fn is_migratable<P>(job: &Job<P>, now: Timestamp, migration_timeout: TimeSpan) -> bool {
+pub(super) fn is_migratable<P>(job: &Job<P>, now: Timestamp, min_time_for_migration: TimeSpan) -> bool {
     let is_transferable =
         |attempt: &Attempt| attempt.has_ended() || attempt.is_in_flight() && attempt.accepted;
-    let has_time = job.deadline > now + migration_timeout + RESPONSE_MARGIN_AFTER_ROLLBACK;
+    let has_time = job.deadline > now + min_time_for_migration + RESPONSE_MARGIN_AFTER_ROLLBACK;
     !job.is_answered() && has_time && job.attempts.iter().all(is_transferable)
 }
 
--- a/crates/node/src/dispatch/task/job_migration.rs
+++ b/crates/node/src/dispatch/task/job_migration.rs
@@ -38,7 +38,7 @@
         let Some(id) = job_handle.job_id() else { return };
         let now = self.clock.now();
         let is_migratable =
-            self.jobs.get(id).is_some_and(|job| is_migratable(job, now, self.migration_timeout));
+            self.jobs.get(id).is_some_and(|job| is_migratable(job, now, self.min_time_for_migration));
         if !is_migratable || migration_channel.is_closed() {
             return;
         }
--- a/crates/node/src/dispatch/task/mod.rs
+++ b/crates/node/src/dispatch/task/mod.rs
@@ -48,9 +48,8 @@
     pub poll_requests: mpsc::Sender<()>,
     /// Counters of the node.
     pub metrics: Metrics,
-    /// Maximum duration until the peer process responds to a migration; after that, the peer counts as having
-    /// rejected it.
-    pub migration_timeout: Duration,
+    /// Time that a job must have left for its migration to the peer process.
+    pub min_time_for_migration: Duration,
 }
 
 /// The dispatch task; see the module documentation.
@@ -62,7 +61,7 @@
     commands: mpsc::Receiver<DispatchCommand>,
     poll_requests: mpsc::Sender<()>,
     metrics: Metrics,
-    migration_timeout: TimeSpan,
+    min_time_for_migration: TimeSpan,
     jobs: JobTable<T::Payload>,
     migrations: Migrations<T::Payload>,
     endpoints: EndpointTable,
@@ -85,7 +84,7 @@
             commands: parts.commands,
             poll_requests: parts.poll_requests,
             metrics: parts.metrics,
-            migration_timeout: time_span(parts.migration_timeout),
+            min_time_for_migration: time_span(parts.min_time_for_migration),
             jobs: JobTable::default(),
             migrations: Migrations::default(),
             endpoints: EndpointTable::default(),
--- a/crates/node/src/handover/link/mod.rs
+++ b/crates/node/src/handover/link/mod.rs
@@ -33,7 +33,7 @@
 pub(super) use self::outbound::limit_snapshot;
 pub use self::peer_request::PeerRequest;
 use self::reader::FrameReader;
-pub use self::requests::{ForwardResult, MIGRATION_TIMEOUT};
+pub use self::requests::{ForwardResult, MIN_TIME_FOR_MIGRATION};
 use self::state::LinkState;
 use self::writer::write_frames;
 
--- a/crates/node/src/handover/link/requests.rs
+++ b/crates/node/src/handover/link/requests.rs
@@ -21,7 +21,7 @@
 /// Maximum time to wait for the result of a forwarded command. The operator waits up to 1 s for the response.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time that a job must have left for its migration. While the job migrates neither process can act on it.
-pub const MIGRATION_TIMEOUT: Duration = Duration::from_secs(2);
+pub const MIN_TIME_FOR_MIGRATION: Duration = Duration::from_secs(2);
 /// Request id of the frames of the handshake.
 const HANDSHAKE_REQUEST_ID: u64 = 0;
 
--- a/crates/node/src/handover/mod.rs
+++ b/crates/node/src/handover/mod.rs
@@ -25,7 +25,7 @@
 mod state_transfer;
 pub mod takeover;
 
-pub use self::link::{ForwardResult, MIGRATION_TIMEOUT, PeerLink};
+pub use self::link::{ForwardResult, MIN_TIME_FOR_MIGRATION, PeerLink};
 pub use self::peer::Peer;
 pub use self::startup::StartupHandover;
 
--- a/crates/node/src/handover/peer.rs
+++ b/crates/node/src/handover/peer.rs
@@ -35,7 +35,7 @@
     }
 
     /// Removes the lost link, and records the process at its other end until it has exited. The process may
-    /// have closed the link and continue to serve independently.
+    /// have given up the node and still hold jobs.
     pub fn mark_lost(&self) {
         let link = self.link.take();
         self.lost_process.set(link.and_then(|link| link.peer_pid()));
@@ -46,7 +46,7 @@
         // The id is removed once the process has exited, because the system may assign the id to another
         // process.
         self.lost_process.set(self.lost_process.get().filter(|pid| test_kill_process(*pid).is_ok()));
-        self.may_have_unknown_peer.get() || self.lost_process.get().is_some()
+        self.may_have_unknown_peer.get() || self.is_unreachable() || self.lost_process.get().is_some()
     }
 
     /// Records that another process of this node may serve without a link, because the rendezvous socket
--- a/crates/node/src/runtime/startup.rs
+++ b/crates/node/src/runtime/startup.rs
@@ -32,7 +32,7 @@
     self, Clock, DispatchCommand, DispatchMessage, DispatchParts, DispatchQueue, DispatchTask, NamedEndpoint,
 };
 use crate::handover::takeover::{TakeoverParts, TakeoverTask};
-use crate::handover::{MIGRATION_TIMEOUT, Peer, StartupHandover};
+use crate::handover::{MIN_TIME_FOR_MIGRATION, Peer, StartupHandover};
 use crate::lifecycle::Lifecycle;
 use crate::runtime::descriptor_budget::{AdminAddress, DescriptorBudget};
 use crate::runtime::error::ServeError;
@@ -225,7 +225,7 @@
             commands: received_commands,
             poll_requests: poll_requester,
             metrics: shared.metrics.clone(),
-            migration_timeout: MIGRATION_TIMEOUT,
+            min_time_for_migration: MIN_TIME_FOR_MIGRATION,
         });
         let client_timeouts = site.dispatcher.classes.iter().map(|class| class.client_timeout);
         Ok(NodeParts {
