--- a/crates/node/src/handover/link/outbound.rs
+++ b/crates/node/src/handover/link/outbound.rs
@@ -62,14 +62,13 @@
     }
 
     /// Returns the number of bytes that wait to be written.
-    #[cfg(test)]
     pub(super) fn bytes(&self) -> usize {
         self.bytes
     }
 
     /// Returns whether every frame is written.
     pub(super) fn is_empty(&self) -> bool {
-        self.bytes == 0
+        self.bytes() == 0
     }
 }
 
