Review: the crowd case is dropped, review/3 shows the same; two cases are renumbered

Need: a case that an earlier one already shows is not kept. Change: review/6 (a crowd that stops half way) is removed with its stand-in; late lines are case 6, the refused call is case 7.

--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -1,7 +1,6 @@
 //! Stand-ins and cases of the second review. `review-2 CASE RECORD` plays a case and ends with 1 if the rule was
 //! broken, 0 if it held, and 2 if the case could not run.
 
-mod crowd;
 mod discovery;
 mod lab;
 mod late_watch;
@@ -12,8 +11,6 @@
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let broken = match words[..] {
-        ["crowd", record] => crowd::play(record),
-        ["crowd-part", port, count] => crowd::crowd_part(port, count),
         ["late-watch", record] => late_watch::play(record),
         ["maintenance", record] => maintenance::play(record),
         _ => lab::cannot_run("usage: review-2 CASE RECORD"),
